--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,45 @@
+// Command standin takes the place of the platform, of backend servers, of the links between
+// daemons and of callers, in demonstrations and tests.
+package main
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/alecthomas/kong"
+)
+
+type commands struct {
+	Platform platformCommand `cmd:"" help:"Run the log service and the VM list."`
+	Backend  backendCommand  `cmd:"" help:"Run a backend server."`
+	Links    linksCommand    `cmd:"" help:"Run the links between daemons, which can be cut one way."`
+	Load     loadCommand     `cmd:"" help:"Send requests as callers do and print what became of them."`
+	Set      setCommand      `cmd:"" help:"Set faults of a running stand-in."`
+	Get      getCommand      `cmd:"" help:"Print the answer to a GET."`
+}
+
+func main() {
+	var c commands
+	ctx := kong.Parse(&c, kong.Name("standin"), kong.Description("Stand-ins for what surrounds the daemons."))
+	ctx.FatalIfErrorf(ctx.Run())
+}
+
+// maxControl bounds a control request, in bytes.
+const maxControl = 1 << 20
+
+// readJSON reads a control request and refuses it if it is not understood.
+func readJSON(w http.ResponseWriter, r *http.Request, v any) bool {
+	d := json.NewDecoder(io.LimitReader(r.Body, maxControl))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/follower/follower.go
@@ -0,0 +1,422 @@
+package follower
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"github.com/jacinthproxy/jacinthproxy/pkg/asserter"
+	"github.com/jacinthproxy/jacinthproxy/pkg/mapper"
+	"github.com/jacinthproxy/jacinthproxy/pkg/merger"
+	"github.com/jacinthproxy/jacinthproxy/pkg/witness"
+)
+
+const (
+	// readWait is how long a read waits for news at the log.
+	readWait = 2 * time.Second
+	// readTimeout bounds a read.
+	readTimeout = 4 * time.Second
+	// minPause and maxPause bound the pause after a failed read.
+	minPause = 200 * time.Millisecond
+	maxPause = 3 * time.Second
+)
+
+// Options are what a Follower needs.
+type Options struct {
+	Log      Log
+	Clock    clockwork.Clock
+	Logger   *zap.Logger
+	Asserter *asserter.Asserter
+	Witness  *witness.Witness
+	// OnMap is called, in order, for each new fleet map; gap says that maps between were missed.
+	OnMap func(old, next *mapper.Map, gap bool)
+	// OnConfiguration is called for each record of the configuration.
+	OnConfiguration func(merger.Result)
+}
+
+// Follower keeps the configuration and the fleet map of one VM up to date.
+type Follower struct {
+	Options
+	mu    sync.Mutex
+	tree  *merger.Tree
+	older *merger.Tree
+	chain *mapper.Chain
+	fleet position
+	conf  position
+	index atomic.Pointer[merger.Index]
+	// written is when each team's subtree was last written to the log, as its records say.
+	written map[string]time.Time
+	// fleetWritten is the version of the last map whose members stand in the log whole.
+	fleetWritten uint64
+	fleetAt      time.Time
+	// lost says that changes of the fleet map were missed and no whole map was read since.
+	lost bool
+}
+
+// position is how far a stream is read.
+type position struct {
+	next  uint64
+	begun bool
+	// readAt is when the last read that reached the end began.
+	readAt time.Time
+	tail   tail
+	err    error
+}
+
+// New returns a follower that has read nothing.
+func New(o Options) *Follower {
+	f := &Follower{Options: o, tree: merger.New(0, o.Asserter), chain: mapper.NewChain(0), written: map[string]time.Time{}}
+	f.index.Store(f.tree.Index(nil))
+	return f
+}
+
+// Index returns the configuration in force.
+func (f *Follower) Index() *merger.Index { return f.index.Load() }
+
+// Map returns the current fleet map.
+func (f *Follower) Map() *mapper.Map {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.chain.Current()
+}
+
+// Position is how far a VM has applied the streams.
+type Position struct {
+	ConfigurationNext uint64 `json:"configurationNext"`
+	FleetNext         uint64 `json:"fleetNext"`
+	MapVersion        uint64 `json:"mapVersion"`
+}
+
+// Position returns how far the streams are applied.
+func (f *Follower) Position() Position {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return Position{f.conf.next, f.fleet.next, f.chain.Current().Version}
+}
+
+// Run reads both streams until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { f.follow(ctx, StreamConfiguration, &f.conf) })
+	wg.Go(func() { f.follow(ctx, StreamFleet, &f.fleet) })
+	wg.Wait()
+}
+
+func (f *Follower) follow(ctx context.Context, stream string, p *position) {
+	pauses := backoff.NewExponentialBackOff()
+	pauses.InitialInterval, pauses.MaxInterval = minPause, maxPause
+	for ctx.Err() == nil {
+		err := f.readOnce(ctx, stream, p)
+		f.note(stream, p, err)
+		if err == nil {
+			pauses.Reset()
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-f.Clock.After(pauses.NextBackOff()):
+		}
+	}
+}
+
+// note logs the first failure of a row, and the recovery.
+func (f *Follower) note(stream string, p *position, err error) {
+	f.mu.Lock()
+	was := p.err
+	p.err = err
+	f.mu.Unlock()
+	switch {
+	case err != nil && was == nil && !errors.Is(err, context.Canceled):
+		f.Logger.Warn("log cannot be read", zap.String("stream", stream), zap.Error(err))
+	case err == nil && was != nil:
+		f.Logger.Info("log can be read again", zap.String("stream", stream))
+	}
+}
+
+func (f *Follower) readOnce(ctx context.Context, stream string, p *position) error {
+	f.mu.Lock()
+	from := p.next
+	f.mu.Unlock()
+	began := f.Clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	b, err := f.Log.Read(ctx, stream, from, readWait)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.begin(stream, p, b)
+	f.apply(stream, p, b.Entries)
+	if p.next < b.Next || b.Next < from {
+		return nil
+	}
+	f.settle(stream, p, began)
+	return nil
+}
+
+// begin starts to read at the log's first record, or again after a gap.
+func (f *Follower) begin(stream string, p *position, b Batch) {
+	if p.begun && b.First <= p.next {
+		return
+	}
+	if p.begun {
+		f.Logger.Error("log dropped records before they were read",
+			zap.String("stream", stream), zap.Uint64("next", p.next), zap.Uint64("first", b.First))
+	}
+	gap := p.begun
+	p.begun, p.next = true, b.First
+	p.tail.reset()
+	if stream == StreamConfiguration {
+		if gap {
+			f.older = f.tree
+		}
+		f.tree = merger.New(b.First, f.Asserter)
+		return
+	}
+	f.lost = gap
+	if !gap {
+		f.chain = mapper.NewChain(b.First)
+	}
+}
+
+// apply takes the records that come next; others are ignored.
+func (f *Follower) apply(stream string, p *position, es []Entry) {
+	applied := false
+	for _, e := range es {
+		if e.Offset < p.next {
+			continue
+		}
+		if e.Offset > p.next {
+			break
+		}
+		p.next = e.Offset + 1
+		p.tail.add(e)
+		applied = true
+		if stream == StreamConfiguration {
+			f.applyConfiguration(e)
+		} else {
+			f.applyFleet(e)
+		}
+	}
+	if applied && stream == StreamConfiguration && f.older == nil {
+		f.index.Store(f.tree.Index(f.index.Load()))
+	}
+}
+
+func (f *Follower) applyConfiguration(e Entry) {
+	r := f.tree.Append(e.Offset, e.Data)
+	if r.Outcome == merger.OutcomeAccepted || r.Outcome == merger.OutcomeRepeated {
+		if r.Record.At.After(f.written[r.Record.Team]) {
+			f.written[r.Record.Team] = r.Record.At
+		}
+	}
+	f.OnConfiguration(r)
+}
+
+func (f *Follower) applyFleet(e Entry) {
+	old, accepted, err := f.chain.Append(e.Offset, e.Data)
+	if errors.Is(err, mapper.ErrGap) {
+		f.fillGap(e)
+		return
+	}
+	if err != nil {
+		f.Logger.Error("fleet map change cannot be read", zap.Uint64("offset", e.Offset), zap.Error(err))
+		return
+	}
+	if !accepted {
+		return
+	}
+	if c, err := mapper.Decode(e.Data); err == nil && len(c.Members) > 0 {
+		f.fleetWritten, f.fleetAt = f.chain.Current().Version, f.Clock.Now()
+	}
+	f.OnMap(old, f.chain.Current(), false)
+}
+
+// fillGap takes a snapshot as the current map after records were missed.
+func (f *Follower) fillGap(e Entry) {
+	c, err := mapper.Decode(e.Data)
+	if err != nil || len(c.Members) == 0 {
+		return
+	}
+	old := f.chain.Current()
+	f.lost = false
+	f.chain = mapper.NewChainAt(mapper.NewMap(e.Offset+1, c.Members))
+	f.OnMap(old, f.chain.Current(), true)
+}
+
+// settle notes that everything up to the end of a stream, as of began, is applied.
+func (f *Follower) settle(stream string, p *position, began time.Time) {
+	if stream == StreamConfiguration {
+		f.tree.Settle()
+		if f.older != nil {
+			f.tree.Keep(f.older)
+			f.older = nil
+		}
+		f.index.Store(f.tree.Index(f.index.Load()))
+	}
+	p.readAt = began
+	if f.lost || f.conf.readAt.IsZero() || f.fleet.readAt.IsZero() {
+		return
+	}
+	if f.conf.readAt.Before(f.fleet.readAt) {
+		began = f.conf.readAt
+	} else {
+		began = f.fleet.readAt
+	}
+	f.Witness.Log(began)
+}
+
+// Ready reports whether this VM has ever applied all of the configuration.
+func (f *Follower) Ready() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.conf.begun && f.fleet.begun
+}
+
+// Relay returns the records of a stream from an offset on for a peer, and false if
+// they are not kept any more.
+func (f *Follower) Relay(stream string, from uint64) ([]Entry, uint64, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.position(stream)
+	if from >= p.next {
+		return nil, p.next, true
+	}
+	es, ok := p.tail.from(from)
+	return es, p.next, ok
+}
+
+func (f *Follower) position(stream string) *position {
+	if stream == StreamConfiguration {
+		return &f.conf
+	}
+	return &f.fleet
+}
+
+// Accept takes records that a peer relayed; those that do not come next are ignored.
+func (f *Follower) Accept(stream string, es []Entry) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if p := f.position(stream); p.begun {
+		f.apply(stream, p, es)
+	}
+}
+
+// State is all that a VM has applied, for a peer that lacks too much to be sent records.
+type State struct {
+	Configuration merger.State
+	MapVersion    uint64
+	Members       []mapper.Member
+	FleetNext     uint64
+}
+
+// State returns all that is applied.
+func (f *Follower) State() State {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.chain.Current()
+	return State{f.tree.State(), m.Version, m.Members(), f.fleet.next}
+}
+
+// Encode returns the state as bytes.
+func (s State) Encode() ([]byte, error) { return json.Marshal(s) }
+
+// Restore takes the state of a peer where it is newer than this VM's.
+func (f *Follower) Restore(b []byte) error {
+	var s State
+	if err := json.Unmarshal(b, &s); err != nil {
+		return errors.Wrap(err, "state of a peer")
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	newer, err := f.tree.Restore(s.Configuration)
+	if err != nil {
+		return err
+	}
+	if newer {
+		f.conf.next, f.conf.begun, f.older = s.Configuration.Next, true, nil
+		f.conf.tail.reset()
+		f.index.Store(f.tree.Index(f.index.Load()))
+	}
+	if s.FleetNext > f.fleet.next {
+		f.restoreMap(s)
+	}
+	return nil
+}
+
+func (f *Follower) restoreMap(s State) {
+	f.fleet.next, f.fleet.begun = s.FleetNext, true
+	f.fleet.tail.reset()
+	f.lost = false
+	old := f.chain.Current()
+	if s.MapVersion <= old.Version {
+		return
+	}
+	f.chain = mapper.NewChainAt(mapper.NewMap(s.MapVersion, s.Members))
+	f.OnMap(old, f.chain.Current(), old.Version != 0)
+}
+
+// Due returns the records that should be written again because the log may soon drop
+// the ones they repeat: those not written for longer than age.
+func (f *Follower) Due(age time.Duration) []merger.Record {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.Clock.Now()
+	var rs []merger.Record
+	for _, s := range f.tree.Teams() {
+		if now.Sub(f.written[s.Team]) <= age {
+			continue
+		}
+		if r, ok := f.tree.Snapshot(s.Team); ok {
+			r.At = now
+			rs = append(rs, r)
+		}
+	}
+	return rs
+}
+
+// maxDeltas is how many changes of the fleet map may follow a whole one.
+const maxDeltas = 256
+
+// DueMap returns a snapshot of the fleet map if it should be written again.
+func (f *Follower) DueMap(age time.Duration) (mapper.Change, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.chain.Current()
+	if m.Version == 0 {
+		return mapper.Change{}, false
+	}
+	old := f.Clock.Now().Sub(f.fleetAt) > age && !f.fleetAt.IsZero()
+	if !old && m.Version-f.fleetWritten < maxDeltas {
+		return mapper.Change{}, false
+	}
+	return m.Snapshot(), true
+}
+
+// Status is what a dump shows of the follower.
+type Status struct {
+	Position
+	Teams    map[string]uint64 `json:"teams"`
+	LogError string            `json:"logError,omitempty"`
+}
+
+// Status returns the follower's state.
+func (f *Follower) Status() Status {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := Status{Position: Position{f.conf.next, f.fleet.next, f.chain.Current().Version}, Teams: f.Index().Versions}
+	for _, p := range []*position{&f.conf, &f.fleet} {
+		if p.err != nil {
+			s.LogError = p.err.Error()
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/internal/follower/log.go
@@ -0,0 +1,103 @@
+package follower
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// The streams of the log.
+const (
+	// StreamConfiguration holds the operators' changes and the snapshots of the subtrees.
+	StreamConfiguration = "configuration"
+	// StreamFleet holds the changes of the fleet map.
+	StreamFleet = "fleet"
+)
+
+// Entry is a record of the log with its offset.
+type Entry struct {
+	Offset uint64 `json:"offset"`
+	Data   []byte `json:"data"`
+}
+
+// Batch is an answer of the log.
+type Batch struct {
+	// First is the oldest offset that the log keeps.
+	First uint64 `json:"first"`
+	// Next is the offset after the newest record.
+	Next    uint64  `json:"next"`
+	Entries []Entry `json:"entries"`
+}
+
+// Log is the platform's append-only log service.
+type Log interface {
+	// Append adds a record to a stream and returns its offset. After an error the
+	// record may have been added all the same.
+	Append(ctx context.Context, stream string, data []byte) (uint64, error)
+	// Read returns records from an offset on; if there are none yet it waits for up to wait.
+	Read(ctx context.Context, stream string, from uint64, wait time.Duration) (Batch, error)
+}
+
+// maxResponse bounds an answer of the platform, in bytes.
+const maxResponse = 64 << 20
+
+// HTTPLog reaches the log service over HTTP.
+type HTTPLog struct {
+	base   *url.URL
+	client *http.Client
+}
+
+// NewHTTPLog returns the log service at a base URL.
+func NewHTTPLog(base *url.URL, client *http.Client) *HTTPLog {
+	return &HTTPLog{base: base, client: client}
+}
+
+// Append posts a record.
+func (l *HTTPLog) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
+	var a struct {
+		Offset uint64 `json:"offset"`
+	}
+	u := l.base.JoinPath("streams", stream)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, u.String(), bytes.NewReader(data))
+	if err != nil {
+		return 0, err
+	}
+	return a.Offset, errors.Wrapf(Fetch(l.client, req, &a), "append to %s", stream)
+}
+
+// Read gets records.
+func (l *HTTPLog) Read(ctx context.Context, stream string, from uint64, wait time.Duration) (Batch, error) {
+	var b Batch
+	u := l.base.JoinPath("streams", stream)
+	u.RawQuery = url.Values{"from": {strconv.FormatUint(from, 10)}, "wait": {wait.String()}}.Encode()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
+	if err != nil {
+		return b, err
+	}
+	err = Fetch(l.client, req, &b)
+	return b, errors.Wrapf(err, "read of %s", stream)
+}
+
+// Fetch sends a request to the platform and reads its JSON answer.
+func Fetch(client *http.Client, req *http.Request, to any) error {
+	rep, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = rep.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(rep.Body, maxResponse))
+	if err != nil {
+		return err
+	}
+	if rep.StatusCode != http.StatusOK {
+		return errors.Newf("the platform answers %s", rep.Status)
+	}
+	return json.Unmarshal(body, to)
+}
--- /dev/null
+++ b/internal/follower/tail.go
@@ -0,0 +1,37 @@
+package follower
+
+// maxTail and maxTailBytes bound the latest records that a VM keeps of a stream to relay them.
+const (
+	maxTail      = 1024
+	maxTailBytes = 4 << 20
+)
+
+// tail keeps the latest records of a stream for peers that cannot read the log.
+type tail struct {
+	entries []Entry
+	bytes   int
+}
+
+func (t *tail) add(e Entry) {
+	t.entries = append(t.entries, e)
+	t.bytes += len(e.Data)
+	for len(t.entries) > maxTail || t.bytes > maxTailBytes {
+		t.bytes -= len(t.entries[0].Data)
+		t.entries = t.entries[1:]
+	}
+}
+
+// from returns the records from an offset on, and false if older ones are gone.
+func (t *tail) from(offset uint64) ([]Entry, bool) {
+	for i, e := range t.entries {
+		if e.Offset == offset {
+			return t.entries[i:], true
+		}
+		if e.Offset > offset {
+			break
+		}
+	}
+	return nil, false
+}
+
+func (t *tail) reset() { *t = tail{} }
--- /dev/null
+++ b/internal/messenger/frame.go
@@ -0,0 +1,26 @@
+package messenger
+
+import (
+	"bufio"
+	"io"
+
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
+)
+
+// write sends a message as one frame in one write.
+func write(w io.Writer, m proto.Message) error {
+	b := protowire.AppendVarint(nil, uint64(proto.Size(m)))
+	b, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(b, m)
+	if err != nil {
+		return err
+	}
+	_, err = w.Write(b)
+	return err
+}
+
+// read receives one frame.
+func read(r *bufio.Reader, m proto.Message) error {
+	return protodelim.UnmarshalOptions{MaxSize: maxFrame}.UnmarshalFrom(r, m)
+}
--- /dev/null
+++ b/internal/messenger/session.go
@@ -0,0 +1,100 @@
+package messenger
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/jacinthproxy/jacinthproxy/internal/messenger/wire"
+)
+
+// ErrUnreachable is returned when a message certainly did not reach the peer.
+var ErrUnreachable = errors.New("the peer cannot be reached")
+
+// ErrLost is returned when a message may have reached the peer and no reply came.
+var ErrLost = errors.New("the peer did not reply")
+
+// ErrRefused is returned when the peer refused a message without acting on it.
+var ErrRefused = errors.New("the peer refused")
+
+// session is an open connection to a peer, with the streams that wait for a call.
+type session struct {
+	mux  *yamux.Session
+	mu   sync.Mutex
+	idle []*Stream
+}
+
+// Stream carries one call at a time.
+type Stream struct {
+	conn    net.Conn
+	r       *bufio.Reader
+	session *session
+}
+
+func (s *session) open() (*Stream, error) {
+	s.mu.Lock()
+	if n := len(s.idle); n > 0 {
+		st := s.idle[n-1]
+		s.idle = s.idle[:n-1]
+		s.mu.Unlock()
+		return st, nil
+	}
+	s.mu.Unlock()
+	c, err := s.mux.Open()
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "stream"), ErrUnreachable)
+	}
+	return &Stream{conn: c, r: bufio.NewReader(c), session: s}, nil
+}
+
+// Done keeps the stream for a later call; all of the reply must have been read.
+func (s *Stream) Done() {
+	s.session.mu.Lock()
+	keep := len(s.session.idle) < maxIdle && !s.session.mux.IsClosed()
+	if keep {
+		s.session.idle = append(s.session.idle, s)
+	}
+	s.session.mu.Unlock()
+	if !keep {
+		s.Close()
+	}
+}
+
+// Close ends the stream; a call that runs on it is canceled at the peer.
+func (s *Stream) Close() { _ = s.conn.Close() }
+
+// Read receives the next message of a reply.
+func (s *Stream) Read(m proto.Message) error {
+	if err := read(s.r, m); err != nil {
+		return errors.Mark(errors.Wrap(err, "reply"), ErrLost)
+	}
+	return nil
+}
+
+// call sends a request and reads the reply. An error of the write counts as lost,
+// since part of the message may have left.
+func (s *Stream) call(ctx context.Context, req *wire.Request) (*wire.Reply, error) {
+	stop := context.AfterFunc(ctx, func() { _ = s.conn.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	if err := write(s.conn, req); err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "request"), ErrLost)
+	}
+	var rep wire.Reply
+	if err := s.Read(&rep); err != nil {
+		return nil, err
+	}
+	if !stop() {
+		return nil, errors.Mark(ctx.Err(), ErrLost)
+	}
+	if rep.GetError() != "" {
+		s.Done()
+		return nil, errors.Mark(errors.Newf("%s", rep.GetError()), ErrRefused)
+	}
+	return &rep, nil
+}
--- /dev/null
+++ b/internal/operator/events.go
@@ -0,0 +1,76 @@
+package operator
+
+import (
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+)
+
+// Event is something that happened at a VM.
+type Event struct {
+	At     time.Time      `json:"at"`
+	Name   string         `json:"event"`
+	Fields map[string]any `json:"fields"`
+}
+
+// subscriberBuffer is how many events may wait for one that watches; more are dropped.
+const subscriberBuffer = 256
+
+// Events keeps the latest events and hands new ones to those that watch. It is safe for concurrent use.
+type Events struct {
+	mu     sync.Mutex
+	clock  clockwork.Clock
+	logger *zap.Logger
+	bound  int
+	latest []Event
+	subs   map[chan Event]struct{}
+}
+
+// NewEvents returns an Events that keeps the latest bound events and logs each.
+func NewEvents(bound int, clock clockwork.Clock, logger *zap.Logger) *Events {
+	return &Events{bound: bound, clock: clock, logger: logger, subs: map[chan Event]struct{}{}}
+}
+
+// Add notes an event; the fields alternate between names and values.
+func (e *Events) Add(name string, fields ...any) {
+	ev := Event{At: e.clock.Now(), Name: name, Fields: map[string]any{}}
+	var zs []zap.Field
+	for i := 0; i+1 < len(fields); i += 2 {
+		n, _ := fields[i].(string)
+		ev.Fields[n] = fields[i+1]
+		zs = append(zs, zap.Any(n, fields[i+1]))
+	}
+	e.logger.Info(name, zs...)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.latest = append(e.latest, ev)
+	e.latest = e.latest[max(0, len(e.latest)-e.bound):]
+	for c := range e.subs {
+		select {
+		case c <- ev:
+		default:
+		}
+	}
+}
+
+// Latest returns the latest events, the oldest first.
+func (e *Events) Latest() []Event {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Event(nil), e.latest...)
+}
+
+// Watch returns a channel of the events from now on, and a function that ends it.
+func (e *Events) Watch() (<-chan Event, func()) {
+	c := make(chan Event, subscriberBuffer)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.subs[c] = struct{}{}
+	return c, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		delete(e.subs, c)
+	}
+}
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,57 @@
+package operator
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+)
+
+// Paths on the operators' listener.
+const (
+	PathDump    = "/dump"
+	PathWatch   = "/watch"
+	PathMetrics = "/metrics"
+)
+
+// watchBeat is how often a silent watch writes an empty line, so that both ends notice a lost connection.
+const watchBeat = 5 * time.Second
+
+// Handler returns the handler of the operators' listener; dump returns the state to show.
+func Handler(dump func() any, events *Events, metrics *Metrics) http.Handler {
+	e := echo.New()
+	e.HideBanner = true
+	e.GET(PathDump, func(c echo.Context) error { return c.JSONPretty(http.StatusOK, dump(), "  ") })
+	e.GET(PathMetrics, echo.WrapHandler(metrics.Handler()))
+	e.GET(PathWatch, func(c echo.Context) error { return watch(c, events) })
+	return e
+}
+
+// watch writes the events as lines of JSON until the client goes.
+func watch(c echo.Context, events *Events) error {
+	ch, stop := events.Watch()
+	defer stop()
+	w := c.Response()
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	w.WriteHeader(http.StatusOK)
+	w.Flush()
+	t := time.NewTicker(watchBeat)
+	defer t.Stop()
+	enc := json.NewEncoder(w)
+	for {
+		var err error
+		select {
+		case <-c.Request().Context().Done():
+			return nil
+		case e := <-ch:
+			err = enc.Encode(e)
+		case <-t.C:
+			_, err = w.Write([]byte("\n"))
+		}
+		if err != nil {
+			return err
+		}
+		w.Flush()
+	}
+}
--- /dev/null
+++ b/internal/server/certificate.go
@@ -0,0 +1,115 @@
+package server
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+)
+
+// certificate is a key pair that is read again when its file changes.
+type certificate struct {
+	settings TLSSettings
+	clock    clockwork.Clock
+	logger   *zap.Logger
+	mu       sync.Mutex
+	pair     *tls.Certificate
+	modified time.Time
+	looked   time.Time
+}
+
+func newCertificate(s TLSSettings, clock clockwork.Clock, logger *zap.Logger) (*certificate, error) {
+	c := &certificate{settings: s, clock: clock, logger: logger}
+	return c, c.load()
+}
+
+func (c *certificate) load() error {
+	i, err := os.Stat(c.settings.Certificate)
+	if err != nil {
+		return errors.Wrap(err, "certificate")
+	}
+	pair, err := tls.LoadX509KeyPair(c.settings.Certificate, c.settings.Key)
+	if err != nil {
+		return errors.Wrap(err, "certificate")
+	}
+	c.pair, c.modified = &pair, i.ModTime()
+	return nil
+}
+
+// current returns the pair, read again if its file changed. A pair that cannot be read
+// leaves the one before in use.
+func (c *certificate) current() *tls.Certificate {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clock.Now()
+	if now.Sub(c.looked) < certificatePeriod {
+		return c.pair
+	}
+	c.looked = now
+	i, err := os.Stat(c.settings.Certificate)
+	if err == nil && i.ModTime().Equal(c.modified) {
+		return c.pair
+	}
+	if err == nil {
+		err = c.load()
+	}
+	if err != nil {
+		c.logger.Error("certificate kept, the new one cannot be read", zap.Error(err))
+	} else {
+		c.logger.Info("certificate read again", zap.String("file", c.settings.Certificate))
+	}
+	return c.pair
+}
+
+// server returns the configuration of a listener; HTTP/2 is offered by net/http.
+func (c *certificate) server() *tls.Config {
+	return &tls.Config{
+		MinVersion:     tls.VersionTLS12,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return c.current(), nil },
+	}
+}
+
+// mutual returns the configurations of both ends of the sessions between daemons. A peer
+// is known by a certificate of the authority, not by its name, for VMs have none.
+func (c *certificate) mutual() (client, server *tls.Config, err error) {
+	pem, err := os.ReadFile(c.settings.Authority)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "authority")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, nil, errors.Newf("authority %s holds no certificate", c.settings.Authority)
+	}
+	server = c.server()
+	server.MinVersion = tls.VersionTLS13
+	server.ClientAuth, server.ClientCAs = tls.RequireAndVerifyClientCert, pool
+	client = &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			return c.current(), nil
+		},
+		// The chain is verified below, without a host name.
+		InsecureSkipVerify: true, //nolint:gosec // VerifyConnection checks the chain.
+		VerifyConnection:   func(s tls.ConnectionState) error { return verify(s, pool) },
+	}
+	return client, server, nil
+}
+
+func verify(s tls.ConnectionState, pool *x509.CertPool) error {
+	if len(s.PeerCertificates) == 0 {
+		return errors.New("the peer has no certificate")
+	}
+	between := x509.NewCertPool()
+	for _, c := range s.PeerCertificates[1:] {
+		between.AddCert(c)
+	}
+	_, err := s.PeerCertificates[0].Verify(x509.VerifyOptions{
+		Roots: pool, Intermediates: between, KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageAny},
+	})
+	return err
+}
--- /dev/null
+++ b/internal/server/records.go
@@ -0,0 +1,136 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"github.com/jacinthproxy/jacinthproxy/internal/messenger"
+	"github.com/jacinthproxy/jacinthproxy/internal/messenger/wire"
+	"github.com/jacinthproxy/jacinthproxy/pkg/placer"
+	"github.com/jacinthproxy/jacinthproxy/pkg/recorder"
+)
+
+// keeper records attempts at the holders of their keys.
+type keeper struct{ server *Server }
+
+// Begin records an attempt at each holder in turn, so that of two attempts at once one gets on.
+func (k keeper) Begin(ctx context.Context, a recorder.Attempt) (recorder.Verdict, recorder.Result) {
+	m := k.server.follower.Map()
+	holders := recorder.Holders(m, recorder.Partition(a.Account, a.Key))
+	if len(holders) == 0 {
+		return recorder.VerdictBusy, recorder.Result{}
+	}
+	for i, h := range holders {
+		v, res, err := k.begin(ctx, h, a, m.Version)
+		if err != nil {
+			v = recorder.VerdictBusy
+		}
+		if v != recorder.VerdictNew {
+			k.finish(holders[:i+1], a, true, recorder.Result{})
+			return v, res
+		}
+	}
+	return recorder.VerdictNew, recorder.Result{}
+}
+
+func (k keeper) begin(ctx context.Context, to placer.VM, a recorder.Attempt, version uint64) (recorder.Verdict, recorder.Result, error) {
+	s := k.server
+	if to.Same(s.self) {
+		v, res := s.beginRecord(a, version)
+		return v, res, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	rep, err := s.messenger.Call(ctx, to.Address, &wire.Request{Body: &wire.Request_Begin{
+		Begin: &wire.Begin{Attempt: toAttempt(a), MapVersion: version},
+	}})
+	if err != nil {
+		return 0, recorder.Result{}, err
+	}
+	v := rep.GetVerdict()
+	return recorder.Verdict(v.GetVerdict()), fromResult(v.GetResult()), nil
+}
+
+// beginRecord records an attempt here, unless this VM is cut off from its fleet.
+func (s *Server) beginRecord(a recorder.Attempt, version uint64) (recorder.Verdict, recorder.Result) {
+	now := s.clock.Now()
+	if !s.witness.Fresh(now) {
+		return recorder.VerdictBusy, recorder.Result{}
+	}
+	return s.recorder.Begin(now, a, version)
+}
+
+// Finish records how an attempt ended. A canceled one is forgotten before this returns,
+// that the caller can try again at once.
+func (k keeper) Finish(a recorder.Attempt, canceled bool, res recorder.Result) {
+	holders := recorder.Holders(k.server.follower.Map(), recorder.Partition(a.Account, a.Key))
+	if canceled {
+		k.finish(holders, a, true, res)
+		return
+	}
+	k.server.tasks.Go(func() { k.finish(holders, a, false, res) })
+}
+
+func (k keeper) finish(holders []placer.VM, a recorder.Attempt, canceled bool, res recorder.Result) {
+	s := k.server
+	for _, h := range holders {
+		if h.Same(s.self) {
+			s.finishRecord(a, canceled, res)
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
+		_, _ = s.messenger.Call(ctx, h.Address, &wire.Request{Body: &wire.Request_Finish{
+			Finish: &wire.Finish{Attempt: toAttempt(a), Canceled: canceled, Result: toResult(res)},
+		}})
+		cancel()
+	}
+}
+
+func (s *Server) finishRecord(a recorder.Attempt, canceled bool, res recorder.Result) {
+	if canceled {
+		s.recorder.Cancel(a)
+		return
+	}
+	s.recorder.Finish(a, res)
+}
+
+func toAttempt(a recorder.Attempt) *wire.Attempt {
+	return &wire.Attempt{Account: a.Account, Key: a.Key, Id: a.ID, Fingerprint: a.Fingerprint, Retry: a.Retry}
+}
+
+func fromAttempt(m *wire.Attempt) recorder.Attempt {
+	return recorder.Attempt{
+		Account: m.GetAccount(), Key: m.GetKey(), ID: m.GetId(), Fingerprint: m.GetFingerprint(), Retry: m.GetRetry(),
+	}
+}
+
+func toResult(r recorder.Result) *wire.Result {
+	return &wire.Result{Known: r.Known, Status: uint32(r.Status), Headers: messenger.ToHeaders(r.Header), Body: r.Body}
+}
+
+func fromResult(m *wire.Result) recorder.Result {
+	return recorder.Result{
+		Known: m.GetKnown(), Status: int(m.GetStatus()), Header: messenger.FromHeaders(m.GetHeaders()), Body: m.GetBody(),
+	}
+}
+
+func toRecords(c recorder.Copy) *wire.Records {
+	m := &wire.Records{ReachNs: int64(c.Reach)}
+	for i, r := range c.Records {
+		m.Records = append(m.Records, &wire.Record{
+			Attempt: toAttempt(r.Attempt), AgeNs: int64(c.Ages[i]), Ended: r.Ended, Result: toResult(r.Result),
+		})
+	}
+	return m
+}
+
+func fromRecords(m *wire.Records) recorder.Copy {
+	c := recorder.Copy{Reach: time.Duration(m.GetReachNs())}
+	for _, r := range m.GetRecords() {
+		c.Records = append(c.Records, recorder.Record{
+			Attempt: fromAttempt(r.GetAttempt()), Ended: r.GetEnded(), Result: fromResult(r.GetResult()),
+		})
+		c.Ages = append(c.Ages, time.Duration(r.GetAgeNs()))
+	}
+	return c
+}
--- /dev/null
+++ b/internal/server/run.go
@@ -0,0 +1,140 @@
+package server
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/jacinthproxy/jacinthproxy/internal/operator"
+	"github.com/jacinthproxy/jacinthproxy/pkg/asserter"
+	"github.com/jacinthproxy/jacinthproxy/pkg/limiter"
+)
+
+// Run serves until ctx ends, then stops gracefully; a second signal, the end of kill, cuts
+// that short. It returns an error if a listener could not be opened or requests were cut.
+func (s *Server) Run(ctx, kill context.Context) error {
+	callers, peers, operators, err := s.listen()
+	if err != nil {
+		return err
+	}
+	run, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var loops sync.WaitGroup
+	for _, f := range []func(context.Context){s.follower.Run, s.watcher.Run, s.beatLoop, s.fleetLoop} {
+		loops.Go(func() { f(run) })
+	}
+	loops.Go(func() { s.report(s.messenger.Serve(run, peers)) })
+	front := s.frontServer()
+	loops.Go(func() { s.report(s.serveFront(front, callers)) })
+	back := &http.Server{Handler: operator.Handler(func() any { return s.Dump() }, s.events, s.metrics), ReadHeaderTimeout: s.settings.Callers.HeaderTimeout}
+	loops.Go(func() { s.report(back.Serve(operators)) })
+	s.event("started", "incarnation", s.self.Incarnation, "domain", s.self.Domain, "peers", s.self.Address.String(),
+		"callers", s.self.Callers.String())
+	<-ctx.Done()
+	err = s.stop(kill, front)
+	cancel()
+	_ = back.Close()
+	_ = peers.Close()
+	s.messenger.Close()
+	s.dispatcher.Close()
+	loops.Wait()
+	s.tasks.Wait()
+	s.event("stopped")
+	return err
+}
+
+func (s *Server) listen() (callers, peers, operators net.Listener, err error) {
+	open := func(name string, l ListenSettings) net.Listener {
+		if err != nil {
+			return nil
+		}
+		var ln net.Listener
+		ln, e := net.Listen("tcp", l.Listen.String())
+		if e != nil {
+			err = errors.Wrap(e, name+".listen")
+			return nil
+		}
+		return ln
+	}
+	peers = open("peers", s.settings.Peers.ListenSettings)
+	callers = open("callers", s.settings.Callers.ListenSettings)
+	operators = open("operators", s.settings.Operators)
+	return callers, peers, operators, err
+}
+
+// report logs why a listener ended, unless it was closed.
+func (s *Server) report(err error) {
+	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+		s.logger.Error("listener ended", zap.Error(err))
+	}
+}
+
+func (s *Server) frontServer() *http.Server {
+	c := s.settings.Callers
+	h := &http.Server{
+		Handler: s.caller.Handler(), ReadHeaderTimeout: c.HeaderTimeout, IdleTimeout: c.IdleTimeout,
+		MaxHeaderBytes: c.MaxHeader, ErrorLog: zap.NewStdLog(s.logger.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+		Protocols: new(http.Protocols),
+	}
+	h.Protocols.SetHTTP1(true)
+	h.Protocols.SetHTTP2(true)
+	h.Protocols.SetUnencryptedHTTP2(true)
+	if s.certs.callers != nil {
+		h.TLSConfig = s.certs.callers.server()
+	}
+	return h
+}
+
+func (s *Server) serveFront(h *http.Server, l net.Listener) error {
+	if h.TLSConfig != nil {
+		return h.ServeTLS(l, "", "")
+	}
+	return h.Serve(l)
+}
+
+// stop ends the daemon without cutting a request: it leaves the directory and the fleet map,
+// hands over what it owns, and waits for what is in flight.
+func (s *Server) stop(kill context.Context, front *http.Server) error {
+	s.stopping.Store(true)
+	s.event("stopping")
+	ctx, cancel := context.WithTimeout(kill, s.settings.StopTimeout)
+	defer cancel()
+	for _, a := range s.neighbours() {
+		go s.beat(ctx, a)
+	}
+	s.sleep(ctx, stopGrace)
+	err := front.Shutdown(ctx)
+	s.asserter.Check(err == nil || kill.Err() != nil, asserter.RuleStop, "requests were cut after %s", s.settings.StopTimeout)
+	if err != nil {
+		s.logger.Error("stop cut requests", zap.Error(err))
+		_ = front.Close()
+	}
+	s.handOver(ctx)
+	return errors.Wrap(err, "planned stop")
+}
+
+// handOver waits until other VMs have taken over what this one owns, and until those that
+// still send to its dispatchers are done.
+func (s *Server) handOver(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	for ctx.Err() == nil && s.witness.ReadsLog(s.clock.Now()) && s.holds() {
+		s.sleep(ctx, 100*time.Millisecond)
+	}
+	for ctx.Err() == nil && s.dispatcher.Busy() {
+		s.sleep(ctx, 100*time.Millisecond)
+	}
+}
+
+func (s *Server) holds() bool {
+	if len(s.gossiper.Live()) == 0 {
+		return false
+	}
+	p := s.owner.Status().Partitions
+	return p[limiter.StateHeld]+p[limiter.StateFrozen]+p[limiter.StateWaiting] > 0
+}
--- /dev/null
+++ b/internal/server/send.go
@@ -0,0 +1,190 @@
+package server
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/jacinthproxy/jacinthproxy/internal/dispatcher"
+	"github.com/jacinthproxy/jacinthproxy/internal/messenger"
+	"github.com/jacinthproxy/jacinthproxy/internal/messenger/wire"
+	"github.com/jacinthproxy/jacinthproxy/pkg/merger"
+	"github.com/jacinthproxy/jacinthproxy/pkg/placer"
+)
+
+// sender brings requests to the dispatchers of their groups.
+type sender struct {
+	server *Server
+	mu     sync.Mutex
+	// shunned are the dispatchers that did not answer, and until when they are passed over.
+	shunned map[netip.AddrPort]time.Time
+}
+
+// Send brings a request to the first dispatcher in order that answers.
+func (s *sender) Send(ctx context.Context, m merger.Match, r dispatcher.Request) dispatcher.Answer {
+	groups := dispatcher.Groups(m.Service)
+	r.Group = pickGroup(groups)
+	vms := s.candidates(r, groups[r.Group])
+	var lost []error
+	last := errors.New("no dispatcher can be reached")
+	reason := dispatcher.ReasonNoBackend
+	for _, vm := range vms {
+		a, err := s.dispatch(ctx, vm, r)
+		switch {
+		case err == nil && !passedOver(a):
+			return notNotRun(a, lost)
+		case err == nil:
+			last, reason = errors.Newf("%s", a.Detail), a.Reason
+			continue
+		case errors.Is(err, messenger.ErrLost):
+			lost = append(lost, err)
+		}
+		last = err
+		if ctx.Err() != nil {
+			break
+		}
+		s.shun(vm.Address)
+		if len(lost) > 0 && (!r.Idempotent || len(lost) >= maxLost) {
+			break
+		}
+	}
+	if len(lost) > 0 {
+		return dispatcher.Answer{Outcome: dispatcher.OutcomeUnknown, Reason: lostReason(ctx), Detail: lost[0].Error()}
+	}
+	return dispatcher.Answer{Outcome: dispatcher.OutcomeNotRun, Reason: reason, Detail: last.Error()}
+}
+
+func lostReason(ctx context.Context) dispatcher.Reason {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		return dispatcher.ReasonCanceled
+	case ctx.Err() != nil:
+		return dispatcher.ReasonTimeout
+	}
+	return dispatcher.ReasonFailed
+}
+
+// notNotRun corrects an answer of a later dispatcher when an earlier one may have run the request.
+func notNotRun(a dispatcher.Answer, lost []error) dispatcher.Answer {
+	if len(lost) > 0 && a.Outcome == dispatcher.OutcomeNotRun {
+		a.Outcome = dispatcher.OutcomeUnknown
+	}
+	return a
+}
+
+// passedOver reports whether a dispatcher refused in a way that another may not.
+func passedOver(a dispatcher.Answer) bool {
+	return a.Outcome == dispatcher.OutcomeNotRun &&
+		(a.Reason == dispatcher.ReasonNoContact || a.Reason == dispatcher.ReasonNoService)
+}
+
+// pickGroup returns a random group, each in proportion to its instances.
+func pickGroup(gs [][]merger.Instance) int {
+	total := 0
+	for _, g := range gs {
+		total += len(g)
+	}
+	n := rand.IntN(max(1, total))
+	for i, g := range gs {
+		if n -= len(g); n < 0 {
+			return i
+		}
+	}
+	return 0
+}
+
+// candidates returns the dispatchers to try, those that are shunned last.
+func (s *sender) candidates(r dispatcher.Request, is []merger.Instance) []placer.VM {
+	ranked := s.server.view().Dispatchers(dispatcher.GroupName(r.Service, r.Group), dispatcher.Domains(is))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.server.clock.Now()
+	var first, shunned []placer.VM
+	for _, vm := range ranked {
+		if s.shunned[vm.Address].After(now) {
+			shunned = append(shunned, vm)
+		} else {
+			first = append(first, vm)
+		}
+	}
+	all := append(first, shunned...)
+	return all[:min(len(all), maxDispatchers)]
+}
+
+func (s *sender) shun(a netip.AddrPort) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.shunned[a] = s.server.clock.Now().Add(shunFor)
+}
+
+func (s *sender) sweep(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for a, t := range s.shunned {
+		if t.Before(now) {
+			delete(s.shunned, a)
+		}
+	}
+}
+
+// dispatch runs a request at a dispatcher, which may be this VM.
+func (s *sender) dispatch(ctx context.Context, to placer.VM, r dispatcher.Request) (dispatcher.Answer, error) {
+	if to.Same(s.server.self) {
+		return s.server.dispatcher.Run(ctx, r), nil
+	}
+	wait, cancel := context.WithDeadline(ctx, r.Deadline.Add(replySlack))
+	rep, stream, err := s.server.messenger.Open(wait, to.Address, &wire.Request{Body: &wire.Request_Dispatch{
+		Dispatch: toDispatch(r, r.Deadline.Sub(s.server.clock.Now())),
+	}})
+	cancel()
+	if err != nil {
+		return dispatcher.Answer{}, err
+	}
+	a := fromAnswer(rep.GetAnswer())
+	if !rep.GetAnswer().GetMore() {
+		stream.Done()
+		return a, nil
+	}
+	stop := context.AfterFunc(ctx, stream.Close)
+	a.Rest = &chunks{stream: stream, stop: stop}
+	return a, nil
+}
+
+func toDispatch(r dispatcher.Request, remaining time.Duration) *wire.Dispatch {
+	return &wire.Dispatch{
+		Id: r.ID, Service: r.Service, Group: uint32(r.Group), Account: r.Account, Route: r.Route, Method: r.Method,
+		Target: r.Target, Headers: messenger.ToHeaders(r.Header), Body: r.Body, RemainingNs: int64(remaining),
+		Idempotent: r.Idempotent,
+	}
+}
+
+func fromDispatch(m *wire.Dispatch, now time.Time) dispatcher.Request {
+	return dispatcher.Request{
+		ID: m.GetId(), Service: m.GetService(), Group: int(m.GetGroup()), Account: m.GetAccount(), Route: m.GetRoute(),
+		Method: m.GetMethod(), Target: m.GetTarget(), Header: messenger.FromHeaders(m.GetHeaders()), Body: m.GetBody(),
+		Deadline: now.Add(time.Duration(m.GetRemainingNs())), Idempotent: m.GetIdempotent(),
+	}
+}
+
+func toAnswer(a dispatcher.Answer) *wire.Answer {
+	return &wire.Answer{
+		Outcome: wire.Outcome(a.Outcome), Reason: uint32(a.Reason), Detail: a.Detail, Status: uint32(a.Status),
+		Headers: messenger.ToHeaders(a.Header), Body: a.Body, More: a.Rest != nil,
+	}
+}
+
+func fromAnswer(m *wire.Answer) dispatcher.Answer {
+	var h http.Header
+	if len(m.GetHeaders()) > 0 {
+		h = messenger.FromHeaders(m.GetHeaders())
+	}
+	return dispatcher.Answer{
+		Outcome: dispatcher.Outcome(m.GetOutcome()), Reason: dispatcher.Reason(m.GetReason()), Detail: m.GetDetail(),
+		Status: int(m.GetStatus()), Header: h, Body: m.GetBody(),
+	}
+}
--- /dev/null
+++ b/internal/watcher/doc.go
@@ -0,0 +1,2 @@
+// Package watcher reads the platform's list of live and leaving VMs.
+package watcher
--- /dev/null
+++ b/key.go
@@ -0,0 +1,123 @@
+package main
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tailscale/hujson"
+
+	"github.com/jacinthproxy/jacinthproxy/internal/publisher"
+	"github.com/jacinthproxy/jacinthproxy/pkg/merger"
+)
+
+type keyCommand struct {
+	Create   keyCreateCommand   `cmd:"" help:"Create a key, publish its hash and print the key, which is kept nowhere."`
+	Withdraw keyWithdrawCommand `cmd:"" help:"Withdraw a key."`
+}
+
+// keyBytes is the length of a key before it is written as hex.
+const keyBytes = 32
+
+type keyFlags struct {
+	logFlags
+	Team    string `required:"" help:"Team of the client account."`
+	Account string `required:"" help:"Client account that the key belongs to."`
+	Name    string `required:"" help:"Name of the key."`
+}
+
+type keyCreateCommand struct{ keyFlags }
+
+func (c keyCreateCommand) Run() error {
+	var b [keyBytes]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		return errors.Wrap(err, "random")
+	}
+	key := hex.EncodeToString(b[:])
+	err := c.patch(func(doc *merger.Document) ([]operation, error) {
+		a := doc.ClientAccounts[c.Account]
+		if _, ok := a.Keys[c.Name]; ok {
+			return nil, errors.Newf("client account %q has a key %q already", c.Account, c.Name)
+		}
+		var ops []operation
+		if a.Keys == nil {
+			ops = append(ops, operation{"add", c.path(""), map[string]string{}})
+		}
+		return append(ops, operation{"add", c.path("/" + c.Name), merger.HashKey(key)}), nil
+	})
+	if err != nil {
+		return err
+	}
+	if c.Output == "json" {
+		return json.NewEncoder(os.Stdout).Encode(map[string]string{"key": key})
+	}
+	fmt.Println(key)
+	return nil
+}
+
+type keyWithdrawCommand struct{ keyFlags }
+
+func (c keyWithdrawCommand) Run() error {
+	return c.patch(func(doc *merger.Document) ([]operation, error) {
+		if _, ok := doc.ClientAccounts[c.Account].Keys[c.Name]; !ok {
+			return nil, errors.Newf("client account %q has no key %q", c.Account, c.Name)
+		}
+		return []operation{{Op: "remove", Path: c.path("/" + c.Name)}}, nil
+	})
+}
+
+func (f keyFlags) path(rest string) string { return "/clientAccounts/" + f.Account + "/keys" + rest }
+
+// operation is one step of a JSON Patch, which leaves the comments where they are.
+type operation struct {
+	Op    string `json:"op"`
+	Path  string `json:"path"`
+	Value any    `json:"value,omitempty"`
+}
+
+// patch publishes the team's subtree with some steps applied.
+func (f keyFlags) patch(steps func(*merger.Document) ([]operation, error)) error {
+	conf, err := f.load()
+	if err != nil {
+		return err
+	}
+	s, ok := conf.Tree.Team(f.Team)
+	if !ok {
+		return errors.Newf("there is no team %q", f.Team)
+	}
+	if _, ok := s.Document.ClientAccounts[f.Account]; !ok {
+		return errors.Newf("team %q has no client account %q", f.Team, f.Account)
+	}
+	ops, err := steps(s.Document)
+	if err != nil {
+		return err
+	}
+	text, err := apply(s.Text, ops)
+	if err != nil {
+		return err
+	}
+	o, err := f.send(publisher.Change{Team: f.Team, Base: s.Version, Document: text})
+	if o != nil {
+		// Standard output is for the key alone.
+		fmt.Fprintln(os.Stderr, o)
+	}
+	return err
+}
+
+func apply(text string, ops []operation) (string, error) {
+	v, err := hujson.Parse([]byte(text))
+	if err != nil {
+		return "", errors.Wrap(err, "document")
+	}
+	p, err := json.Marshal(ops)
+	if err != nil {
+		return "", errors.Wrap(err, "patch")
+	}
+	if err := v.Patch(p); err != nil {
+		return "", errors.Wrap(err, "patch")
+	}
+	return string(v.Pack()), nil
+}
--- /dev/null
+++ b/main.go
@@ -0,0 +1,79 @@
+// Command jacinthproxy is a proxy fleet for backend servers with gray failures.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+	"github.com/cockroachdb/errors"
+
+	"github.com/jacinthproxy/jacinthproxy/pkg/merger"
+	"github.com/jacinthproxy/jacinthproxy/pkg/parser"
+)
+
+// version is set when a release is built.
+var version = "devel"
+
+// Exit codes, for scripts.
+const (
+	exitFailure  = 1
+	exitFindings = 2
+	exitStale    = 3
+)
+
+type commands struct {
+	Serve   serveCommand   `cmd:"" help:"Run a daemon."`
+	Check   checkCommand   `cmd:"" help:"Check a settings file and documents of the configuration."`
+	Config  configCommand  `cmd:"" help:"Publish and read the configuration."`
+	Key     keyCommand     `cmd:"" help:"Create and withdraw keys."`
+	Dump    dumpCommand    `cmd:"" help:"Show the state of a running daemon."`
+	Version versionCommand `cmd:"" help:"Print the version."`
+}
+
+type versionCommand struct{}
+
+func (versionCommand) Run() error {
+	fmt.Println("jacinthproxy", version)
+	return nil
+}
+
+const description = `A proxy fleet for backend servers that fail partly and quietly.
+
+Examples:
+  jacinthproxy check --settings daemon.json --document ledger.json
+  jacinthproxy serve --settings daemon.json
+  jacinthproxy config publish --log http://10.0.0.2:9000 --team ledger --file ledger.json
+  jacinthproxy key create --log http://10.0.0.2:9000 --team ledger --account pit-crew --name phone-1
+  jacinthproxy dump --operators 127.0.0.1:7070 --watch
+
+Exit codes: 0 done, 1 failed, 2 findings in the input or on the command line, 3 another change came first.`
+
+func main() {
+	var c commands
+	ctx := kong.Parse(&c, kong.Name("jacinthproxy"), kong.Description(description),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true}), kong.Exit(exit))
+	if err := ctx.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(code(err))
+	}
+}
+
+// exit maps kong's code for a wrong command line to ours.
+func exit(code int) {
+	if code != 0 {
+		code = exitFindings
+	}
+	os.Exit(code)
+}
+
+func code(err error) int {
+	var fs parser.Findings
+	switch {
+	case errors.As(err, &fs):
+		return exitFindings
+	case errors.Is(err, merger.ErrStale):
+		return exitStale
+	}
+	return exitFailure
+}
--- /dev/null
+++ b/pkg/gossiper/gossiper.go
@@ -0,0 +1,230 @@
+package gossiper
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jacinthproxy/jacinthproxy/pkg/placer"
+)
+
+//go:generate go tool enumer -type=Kind -trimprefix=Kind -transform=title-lower -text
+
+// Kind says how a VM is.
+type Kind int
+
+// The kinds of news about a VM.
+const (
+	// KindUp means that the VM answered.
+	KindUp Kind = iota
+	// KindDown means that the VM missed several heartbeats in a row.
+	KindDown
+	// KindLeaving means that the VM is stopping as planned.
+	KindLeaving
+)
+
+const (
+	// newsLife is how long news is passed on.
+	newsLife = 15 * time.Second
+	// maxNews bounds the news in one heartbeat.
+	maxNews = 12
+	// misses is how many heartbeats in a row a VM misses until it is down.
+	misses = 2
+	// forgetAfter is how long a VM that is down is remembered.
+	forgetAfter = 2 * time.Minute
+)
+
+// Fact is what is known of a VM, and as of when.
+type Fact struct {
+	VM   placer.VM
+	Kind Kind
+	At   time.Time
+}
+
+type entry struct {
+	Fact
+	// changed is when the kind or incarnation became known here.
+	changed time.Time
+	hash    uint64
+	missed  int
+}
+
+// Gossiper is the view of one VM. It is safe for concurrent use.
+type Gossiper struct {
+	mu      sync.Mutex
+	self    placer.VM
+	hash    uint64
+	entries map[netip.AddrPort]*entry
+	random  *rand.Rand
+}
+
+// New returns the view of the VM self, which knows no other VM.
+func New(self placer.VM, random *rand.Rand) *Gossiper {
+	return &Gossiper{
+		self: self, hash: placer.Hash(self.ID()), entries: map[netip.AddrPort]*entry{}, random: random,
+	}
+}
+
+// Learn takes a fact and reports whether it was news.
+func (g *Gossiper) Learn(now time.Time, f Fact) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if f.VM.Address == g.self.Address {
+		return false
+	}
+	e := g.entries[f.VM.Address]
+	if e == nil {
+		e = &entry{Fact: f, changed: now, hash: placer.Hash(f.VM.ID())}
+		g.entries[f.VM.Address] = e
+		return true
+	}
+	if !e.outdated(f) {
+		return false
+	}
+	news := e.Kind != f.Kind || !e.VM.Same(f.VM)
+	e.Fact = f
+	if f.Kind == KindUp {
+		e.missed = 0
+	}
+	if news {
+		e.changed = now
+	}
+	return news
+}
+
+// outdated reports whether f is later than what e holds. A leaving VM stays so until it is replaced.
+func (e *entry) outdated(f Fact) bool {
+	if c := cmp.Compare(f.VM.Incarnation, e.VM.Incarnation); c != 0 {
+		return c > 0
+	}
+	if e.Kind == KindLeaving || f.Kind == KindLeaving {
+		return e.Kind != KindLeaving
+	}
+	return f.At.After(e.At)
+}
+
+// Missed notes that a VM did not answer a heartbeat and reports whether it is now held to be down.
+func (g *Gossiper) Missed(now time.Time, a netip.AddrPort) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	e := g.entries[a]
+	if e == nil {
+		return false
+	}
+	e.missed++
+	if e.missed < misses || e.Kind != KindUp {
+		return false
+	}
+	e.Kind, e.At, e.changed = KindDown, now, now
+	return true
+}
+
+// News returns the facts that changed lately, the latest first.
+func (g *Gossiper) News(now time.Time) []Fact {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var es []*entry
+	for _, e := range g.entries {
+		if now.Sub(e.changed) < newsLife {
+			es = append(es, e)
+		}
+	}
+	slices.SortFunc(es, func(a, b *entry) int { return b.changed.Compare(a.changed) })
+	fs := make([]Fact, 0, maxNews)
+	for _, e := range es[:min(len(es), maxNews)] {
+		fs = append(fs, e.Fact)
+	}
+	return fs
+}
+
+// Live returns the VMs that are up, without this one.
+func (g *Gossiper) Live() []placer.VM {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var vs []placer.VM
+	for _, e := range g.entries {
+		if e.Kind == KindUp {
+			vs = append(vs, e.VM)
+		}
+	}
+	return vs
+}
+
+// Facts returns all that is known, in order of address.
+func (g *Gossiper) Facts() []Fact {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var fs []Fact
+	for _, e := range g.entries {
+		fs = append(fs, e.Fact)
+	}
+	slices.SortFunc(fs, func(a, b Fact) int { return placer.Compare(a.VM, b.VM) })
+	return fs
+}
+
+// Neighbours returns the live VMs to begin heartbeats with: those at distances
+// 1, 2, 4 and so on along the ring, and one that is down, to notice its return.
+func (g *Gossiper) Neighbours() []placer.VM {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	ring, down := g.ring()
+	var vs []placer.VM
+	for d := 1; d <= len(ring); d *= 2 {
+		vs = append(vs, ring[d-1].VM)
+	}
+	if len(down) > 0 {
+		vs = append(vs, down[g.random.IntN(len(down))].VM)
+	}
+	return vs
+}
+
+// Ring returns those of some VMs that stand at distances 1, 2, 4 and so on after self in the
+// order of their hashes.
+func Ring(self placer.VM, vms []placer.VM) []placer.VM {
+	own := placer.Hash(self.ID())
+	type placed struct {
+		vm       placer.VM
+		distance uint64
+	}
+	var ps []placed
+	for _, v := range vms {
+		if v.Address != self.Address {
+			ps = append(ps, placed{v, placer.Hash(v.ID()) - own})
+		}
+	}
+	slices.SortFunc(ps, func(a, b placed) int { return cmp.Compare(a.distance, b.distance) })
+	var vs []placer.VM
+	for d := 1; d <= len(ps); d *= 2 {
+		vs = append(vs, ps[d-1].vm)
+	}
+	return vs
+}
+
+// ring returns the live VMs after this one in order of hash, and those that are down.
+func (g *Gossiper) ring() (live, down []*entry) {
+	for _, e := range g.entries {
+		switch e.Kind {
+		case KindUp:
+			live = append(live, e)
+		case KindDown:
+			down = append(down, e)
+		case KindLeaving:
+		}
+	}
+	slices.SortFunc(live, func(a, b *entry) int { return cmp.Compare(a.hash-g.hash, b.hash-g.hash) })
+	return live, down
+}
+
+// Forget drops the VMs that have been down or leaving for long, unless they are kept.
+func (g *Gossiper) Forget(now time.Time, keep func(netip.AddrPort) bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for a, e := range g.entries {
+		if e.Kind != KindUp && now.Sub(e.changed) > forgetAfter && !keep(a) {
+			delete(g.entries, a)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/limiter/bucket.go
@@ -0,0 +1,104 @@
+package limiter
+
+import (
+	"time"
+
+	"github.com/jacinthproxy/jacinthproxy/pkg/asserter"
+)
+
+// Tokens is an amount of tokens; one token admits one request.
+type Tokens float64
+
+// epsilon absorbs rounding of sums of tokens.
+const epsilon Tokens = 1e-6
+
+// Limit is a rate and the burst above it.
+type Limit struct {
+	// Rate is in tokens a second.
+	Rate float64 `json:"rate"`
+	// Burst is the most tokens that can be saved up.
+	Burst Tokens `json:"burst"`
+}
+
+// Share returns the limit of one of n equal shards.
+func (l Limit) Share(n int) Limit {
+	return Limit{Rate: l.Rate / float64(n), Burst: l.Burst / Tokens(n)}
+}
+
+// Refill returns the tokens that accrue over d.
+func (l Limit) Refill(d time.Duration) Tokens { return Tokens(l.Rate * d.Seconds()) }
+
+// Bucket is a token bucket. It asserts that what it gives out never exceeds its limit.
+type Bucket struct {
+	limit   Limit
+	level   Tokens
+	at      time.Time
+	initial Tokens
+	since   time.Time
+	given   Tokens
+	// unset says that the bucket was handed over and learns its limit at its first use.
+	unset bool
+}
+
+// NewBucket returns a bucket that holds level at now.
+func NewBucket(now time.Time, l Limit, level Tokens) *Bucket {
+	level = min(level, l.Burst)
+	return &Bucket{limit: l, level: level, at: now, initial: level, since: now}
+}
+
+// newHandedOver returns a bucket whose limit is not known yet and that refills from now on.
+func newHandedOver(now time.Time, level Tokens) *Bucket {
+	b := NewBucket(now, Limit{Burst: level}, level)
+	b.unset = true
+	return b
+}
+
+// SetLimit changes the limit from now on; the level is cut to the new burst.
+func (b *Bucket) SetLimit(now time.Time, l Limit) {
+	if b.unset {
+		*b = *NewBucket(b.at, l, b.level)
+	}
+	if l == b.limit {
+		return
+	}
+	b.refill(now)
+	*b = *NewBucket(now, l, b.level)
+}
+
+// Level returns the tokens in the bucket at now.
+func (b *Bucket) Level(now time.Time) Tokens {
+	b.refill(now)
+	return b.level
+}
+
+// Take removes and returns up to want tokens.
+func (b *Bucket) Take(now time.Time, want Tokens, a *asserter.Asserter) Tokens {
+	b.refill(now)
+	got := max(0, min(want, b.level))
+	b.level -= got
+	b.given += got
+	b.check(now, a)
+	return got
+}
+
+// Return puts back tokens that were taken and not used.
+func (b *Bucket) Return(now time.Time, n Tokens) {
+	b.refill(now)
+	n = max(0, min(n, b.given, b.limit.Burst-b.level))
+	b.level += n
+	b.given -= n
+}
+
+func (b *Bucket) refill(now time.Time) {
+	d := now.Sub(b.at)
+	if d <= 0 {
+		return
+	}
+	b.level = min(b.limit.Burst, b.level+b.limit.Refill(d))
+	b.at = now
+}
+
+func (b *Bucket) check(now time.Time, a *asserter.Asserter) {
+	bound := b.initial + b.limit.Refill(now.Sub(b.since)) + epsilon*(1+b.given)
+	a.Check(b.given <= bound, asserter.RuleRate, "bucket gave %v of %v with limit %+v", b.given, bound, b.limit)
+}
--- /dev/null
+++ b/pkg/mapper/map.go
@@ -0,0 +1,141 @@
+package mapper
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"strconv"
+
+	"github.com/jacinthproxy/jacinthproxy/pkg/placer"
+)
+
+// Partitions is the number of partitions of the accounts' rates in each failure domain.
+const Partitions = 512
+
+// Partition is a unit of ownership: all shards in one failure domain of the accounts that hash to its index.
+type Partition struct {
+	Domain string `json:"domain"`
+	Index  int    `json:"index"`
+}
+
+// PartitionOf returns the partition of a failure domain that holds an account's shard.
+func PartitionOf(account, domain string) Partition {
+	return Partition{Domain: domain, Index: int(placer.Hash(account) % Partitions)}
+}
+
+func (p Partition) key() string { return p.Domain + "/" + strconv.Itoa(p.Index) }
+
+// Member is a VM in the map; a leaving one owns nothing but may still hold what it has not released.
+type Member struct {
+	placer.VM
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// Map is one version of the fleet map. It is immutable.
+type Map struct {
+	// Version is the log offset, plus one, of the change that made this map; zero is the empty map.
+	Version uint64
+	members []Member
+	domains map[string][]candidate
+	all     []candidate
+}
+
+type candidate struct {
+	vm   placer.VM
+	hash uint64
+}
+
+// NewMap returns a map of the given version and members.
+func NewMap(version uint64, members []Member) *Map {
+	m := &Map{Version: version, members: slices.Clone(members), domains: map[string][]candidate{}}
+	slices.SortFunc(m.members, func(a, b Member) int { return placer.Compare(a.VM, b.VM) })
+	for _, e := range m.members {
+		if e.Leaving {
+			continue
+		}
+		c := candidate{e.VM, placer.Hash(e.ID())}
+		m.domains[e.Domain] = append(m.domains[e.Domain], c)
+		m.all = append(m.all, c)
+	}
+	return m
+}
+
+// Members returns the members in order of address; the caller must not change them.
+func (m *Map) Members() []Member { return m.members }
+
+// VMs returns the members that are not leaving, in order of address.
+func (m *Map) VMs() []placer.VM {
+	vs := make([]placer.VM, len(m.all))
+	for i, c := range m.all {
+		vs[i] = c.vm
+	}
+	return vs
+}
+
+// Member returns the member at an address.
+func (m *Map) Member(a netip.AddrPort) (Member, bool) {
+	i, ok := slices.BinarySearchFunc(m.members, a, func(e Member, a netip.AddrPort) int { return e.Address.Compare(a) })
+	if !ok {
+		return Member{}, false
+	}
+	return m.members[i], true
+}
+
+// Has reports whether this very incarnation is a member.
+func (m *Map) Has(v placer.VM) bool {
+	e, ok := m.Member(v.Address)
+	return ok && e.Same(v)
+}
+
+// Owner returns the VM that owns a partition, or false if no VM can.
+// A failure domain without members is served by the members of the others.
+func (m *Map) Owner(p Partition) (placer.VM, bool) {
+	cs := m.domains[p.Domain]
+	if len(cs) == 0 {
+		cs = m.all
+	}
+	return best(placer.Hash(p.key()), cs)
+}
+
+// Holders returns the VMs that record an idempotency key: the first two in
+// rendezvous order, the second from another failure domain where there is one.
+func (m *Map) Holders(key string) []placer.VM {
+	k := placer.Hash(key)
+	first, ok := best(k, m.all)
+	if !ok {
+		return nil
+	}
+	others := filter(m.all, func(c candidate) bool { return c.vm.Domain != first.Domain })
+	if len(others) == 0 {
+		others = filter(m.all, func(c candidate) bool { return c.vm.Address != first.Address })
+	}
+	second, ok := best(k, others)
+	if !ok {
+		return []placer.VM{first}
+	}
+	return []placer.VM{first, second}
+}
+
+func filter(cs []candidate, keep func(candidate) bool) []candidate {
+	var kept []candidate
+	for _, c := range cs {
+		if keep(c) {
+			kept = append(kept, c)
+		}
+	}
+	return kept
+}
+
+func best(key uint64, cs []candidate) (placer.VM, bool) {
+	var top placer.VM
+	var weight uint64
+	for i, c := range cs {
+		if w := placer.Weight(key, c.hash); i == 0 || w > weight {
+			top, weight = c.vm, w
+		}
+	}
+	return top, len(cs) > 0
+}
+
+// String describes the map in one line.
+func (m *Map) String() string { return fmt.Sprintf("map %d of %d VMs", m.Version, len(m.members)) }
--- /dev/null
+++ b/pkg/merger/tree.go
@@ -0,0 +1,202 @@
+package merger
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/jacinthproxy/jacinthproxy/pkg/asserter"
+)
+
+// ErrStale is the reason of a change that lost to another.
+var ErrStale = errors.New("the subtree has changed since the version the change is based on")
+
+// Subtree is one team's configuration. It is immutable.
+type Subtree struct {
+	Team string `json:"team"`
+	// Version is the log offset, plus one, of the change that made it.
+	Version uint64 `json:"version"`
+	// Text is the document as published.
+	Text     string    `json:"document"`
+	Document *Document `json:"-"`
+}
+
+// Tree is the configuration as merged so far. It is not safe for concurrent use.
+type Tree struct {
+	teams    map[string]Subtree
+	pending  map[string][]entry
+	first    uint64
+	next     uint64
+	asserter *asserter.Asserter
+}
+
+type entry struct {
+	offset uint64
+	record Record
+}
+
+// New returns an empty tree that reads from offset first, the oldest that the log keeps.
+func New(first uint64, a *asserter.Asserter) *Tree {
+	return &Tree{teams: map[string]Subtree{}, pending: map[string][]entry{}, first: first, next: first, asserter: a}
+}
+
+// Next returns the offset that the tree reads next.
+func (t *Tree) Next() uint64 { return t.next }
+
+// Team returns a team's subtree.
+func (t *Tree) Team(name string) (Subtree, bool) {
+	s, ok := t.teams[name]
+	return s, ok
+}
+
+// Teams returns all subtrees in order of name.
+func (t *Tree) Teams() []Subtree {
+	return slices.SortedFunc(maps.Values(t.teams), func(a, b Subtree) int { return cmp.Compare(a.Team, b.Team) })
+}
+
+// Append reads the record at an offset; offsets that were read before are ignored.
+func (t *Tree) Append(offset uint64, b []byte) Result {
+	if offset < t.next {
+		return Result{Outcome: OutcomeRepeated}
+	}
+	t.next = offset + 1
+	r, err := Decode(b)
+	if err != nil {
+		return Result{Outcome: OutcomeUnreadable, Err: err}
+	}
+	if r.Kind == KindSnapshot {
+		return t.snapshot(offset, r)
+	}
+	return t.change(offset, r)
+}
+
+func (t *Tree) change(offset uint64, r Record) Result {
+	cur, known := t.teams[r.Team]
+	if !known && t.first > 0 {
+		return t.judgeUnknown(offset, r)
+	}
+	return t.judge(offset, r, cur)
+}
+
+// judgeUnknown keeps a change whose base may have been dropped from the log until a snapshot comes.
+func (t *Tree) judgeUnknown(offset uint64, r Record) Result {
+	t.pending[r.Team] = append(t.pending[r.Team], entry{offset, r})
+	return Result{Outcome: OutcomePending, Record: r}
+}
+
+func (t *Tree) judge(offset uint64, r Record, cur Subtree) Result {
+	if r.Base != cur.Version {
+		err := errors.Wrapf(ErrStale, "team %s is at version %d, the change is based on %d", r.Team, cur.Version, r.Base)
+		return Result{Outcome: OutcomeStale, Record: r, Version: cur.Version, Err: err}
+	}
+	doc, err := ParseDocument(r.Team, []byte(r.Document))
+	if err != nil {
+		return Result{Outcome: OutcomeInvalid, Record: r, Version: cur.Version, Err: err}
+	}
+	t.put(Subtree{Team: r.Team, Version: offset + 1, Text: r.Document, Document: doc})
+	return Result{Outcome: OutcomeAccepted, Record: r, Version: offset + 1}
+}
+
+func (t *Tree) put(s Subtree) {
+	cur := t.teams[s.Team]
+	t.asserter.Check(s.Version > cur.Version, asserter.RuleConfiguration,
+		"team %s goes from version %d to %d", s.Team, cur.Version, s.Version)
+	t.teams[s.Team] = s
+}
+
+// snapshot adopts a subtree that is not known. It is a safe base only if every record
+// after the point to which its writer had read is readable here.
+func (t *Tree) snapshot(offset uint64, r Record) Result {
+	if cur, known := t.teams[r.Team]; known || r.AsOf < t.first || r.AsOf > offset {
+		return Result{Outcome: OutcomeRepeated, Record: r, Version: cur.Version}
+	}
+	doc, err := ParseDocument(r.Team, []byte(r.Document))
+	if err != nil {
+		return Result{Outcome: OutcomeInvalid, Record: r, Err: err}
+	}
+	t.put(Subtree{Team: r.Team, Version: r.Version, Text: r.Document, Document: doc})
+	t.replay(r.Team, r.AsOf)
+	return Result{Outcome: OutcomeAccepted, Record: r, Version: t.teams[r.Team].Version}
+}
+
+// replay judges the changes that were read before the snapshot and that its writer had not read.
+func (t *Tree) replay(team string, asOf uint64) {
+	waiting := t.pending[team]
+	delete(t.pending, team)
+	for _, e := range waiting {
+		if e.offset >= asOf {
+			t.judge(e.offset, e.record, t.teams[team])
+		}
+	}
+}
+
+// Snapshot returns the record that repeats a team's subtree.
+func (t *Tree) Snapshot(team string) (Record, bool) {
+	s, ok := t.teams[team]
+	return Record{
+		Format: Format, Kind: KindSnapshot, Team: team, Version: s.Version, AsOf: t.next, Document: s.Text,
+	}, ok
+}
+
+// Settle is called when the tree has read to the end of the log. Every team that
+// existed before the log begins has a snapshot in it, so a team without one is new.
+func (t *Tree) Settle() {
+	for team, waiting := range t.pending {
+		delete(t.pending, team)
+		for _, e := range waiting {
+			t.judge(e.offset, e.record, t.teams[team])
+		}
+	}
+	t.first = 0
+}
+
+// Keep takes over the subtrees of an older tree that are newer than this one's,
+// so that a tree read again after a gap reverts nothing.
+func (t *Tree) Keep(old *Tree) {
+	for _, s := range old.Teams() {
+		if s.Version > t.teams[s.Team].Version {
+			t.put(s)
+		}
+	}
+}
+
+// State is a whole tree as one VM passes it to another.
+type State struct {
+	Next     uint64    `json:"next"`
+	Subtrees []Subtree `json:"subtrees"`
+}
+
+// State returns the tree's content.
+func (t *Tree) State() State { return State{Next: t.next, Subtrees: t.Teams()} }
+
+// Restore takes the content of a peer that has read further. It returns false and
+// changes nothing if the peer has not.
+func (t *Tree) Restore(s State) (bool, error) {
+	if s.Next <= t.next {
+		return false, nil
+	}
+	parsed := make([]Subtree, 0, len(s.Subtrees))
+	for _, e := range s.Subtrees {
+		doc, err := ParseDocument(e.Team, []byte(e.Text))
+		if err != nil {
+			return false, errors.Wrapf(err, "team %s of a peer's state", e.Team)
+		}
+		e.Document = doc
+		parsed = append(parsed, e)
+	}
+	for _, e := range parsed {
+		if e.Version > t.teams[e.Team].Version {
+			t.put(e)
+		}
+	}
+	t.next, t.pending, t.first = s.Next, map[string][]entry{}, 0
+	return true, nil
+}
+
+// String describes the tree in one line.
+func (t *Tree) String() string {
+	return fmt.Sprintf("%d teams read to offset %d", len(t.teams), t.next)
+}
--- /dev/null
+++ b/pkg/witness/witness.go
@@ -0,0 +1,129 @@
+package witness
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+)
+
+//go:generate go tool enumer -type=Reason -trimprefix=Reason -transform=title-lower -text
+
+// Reason says why a VM is in contact, or that it is not.
+type Reason int
+
+// The reasons for a verdict.
+const (
+	// ReasonNone means that the VM is not in contact.
+	ReasonNone Reason = iota
+	// ReasonLog means that the VM read the log's tip itself, and has applied it.
+	ReasonLog
+	// ReasonRelay means that a peer relayed a tip, and the VM has applied it.
+	ReasonRelay
+	// ReasonMajority means that most peers answer and none of them can read the log.
+	ReasonMajority
+)
+
+type contact struct {
+	at      time.Time
+	logRead bool
+}
+
+// Witness keeps the latest contacts of one VM. It is safe for concurrent use.
+type Witness struct {
+	mu    sync.Mutex
+	bound time.Duration
+	log   time.Time
+	relay time.Time
+	peers map[netip.AddrPort]contact
+	quiet map[netip.AddrPort]bool
+}
+
+// New returns a Witness for which a contact counts for bound.
+func New(bound time.Duration) *Witness {
+	return &Witness{bound: bound, peers: map[netip.AddrPort]contact{}}
+}
+
+// Log records that everything up to a tip read from the log is applied; the read began at t.
+func (w *Witness) Log(t time.Time) { w.advance(&w.log, t) }
+
+// Relay records that everything up to a tip relayed by a peer is applied. The
+// time t is when the heartbeat that brought it was sent for, less the tip's age.
+func (w *Witness) Relay(t time.Time) { w.advance(&w.relay, t) }
+
+func (w *Witness) advance(at *time.Time, t time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if t.After(*at) {
+		*at = t
+	}
+}
+
+// Peer records a heartbeat exchanged with a peer: begun at t, and whether the
+// peer has read the log within the bound.
+func (w *Witness) Peer(a netip.AddrPort, t time.Time, readsLog bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.peers[a] = contact{at: t, logRead: readsLog}
+}
+
+// SetPeers names the peers of which more than half must answer while the log is away.
+func (w *Witness) SetPeers(as []netip.AddrPort) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.quiet = make(map[netip.AddrPort]bool, len(as))
+	for _, a := range as {
+		w.quiet[a] = true
+	}
+	for a := range w.peers {
+		if !w.quiet[a] {
+			delete(w.peers, a)
+		}
+	}
+}
+
+// Verdict returns why the VM is in contact at now, or ReasonNone.
+func (w *Witness) Verdict(now time.Time) Reason {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case now.Sub(w.log) <= w.bound:
+		return ReasonLog
+	case now.Sub(w.relay) <= w.bound:
+		return ReasonRelay
+	case w.majority(now):
+		return ReasonMajority
+	}
+	return ReasonNone
+}
+
+// Age returns how long ago this VM was last sure to have applied all of the log, and false if never.
+func (w *Witness) Age(now time.Time) (time.Duration, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	at := w.log
+	if w.relay.After(at) {
+		at = w.relay
+	}
+	return now.Sub(at), !at.IsZero()
+}
+
+// Fresh reports whether the VM is in contact at now.
+func (w *Witness) Fresh(now time.Time) bool { return w.Verdict(now) != ReasonNone }
+
+// ReadsLog reports whether the VM itself read the log's tip within the bound.
+func (w *Witness) ReadsLog(now time.Time) bool { return w.Verdict(now) == ReasonLog }
+
+// majority counts this VM among the peers.
+func (w *Witness) majority(now time.Time) bool {
+	n := 1
+	for a, c := range w.peers {
+		if !w.quiet[a] || now.Sub(c.at) > w.bound {
+			continue
+		}
+		if c.logRead {
+			return false
+		}
+		n++
+	}
+	return w.quiet != nil && 2*n > len(w.quiet)+1
+}
