Hold each idempotency key at three VMs instead of two

Ruled out: taking the backup alone while the owner is silent, since an attempt that reaches the owner through another VM would then run a second time.

Change: three holders in different failure domains; an attempt runs once two of them record it as new. A new holder copies from as many earlier holders as it takes to meet every quorum.

It costs a third message to each request with a key, sent at the same time as the others.

--- a/internal/server/fleet.go
+++ b/internal/server/fleet.go
@@ -203,8 +203,7 @@
 		}})
 		cancel()
 		if err == nil {
-			s.recorder.Receive(s.clock.Now(), n.Partition, fromRecords(rep.GetRecords()))
-			return
+			s.recorder.Receive(s.clock.Now(), n.Partition, from, fromRecords(rep.GetRecords()))
 		}
 	}
 }
--- a/internal/server/records.go
+++ b/internal/server/records.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/jacinthproxy/jacinthproxy/internal/messenger"
@@ -13,24 +14,65 @@
 // keeper records attempts at the holders of their keys.
 type keeper struct{ server *Server }
 
-// Begin records an attempt at each holder in turn, so that of two attempts at once one gets on.
+// verdict is the answer of one holder.
+type verdict struct {
+	verdict recorder.Verdict
+	result  recorder.Result
+}
+
+// Begin records an attempt at all holders at once and waits for a quorum.
 func (k keeper) Begin(ctx context.Context, a recorder.Attempt) (recorder.Verdict, recorder.Result) {
-	m := k.server.follower.Map()
-	holders := recorder.Holders(m, recorder.Partition(a.Account, a.Key))
+	holders, version := k.server.recorder.Holders(a.Account, a.Key)
 	if len(holders) == 0 {
 		return recorder.VerdictBusy, recorder.Result{}
 	}
-	for i, h := range holders {
-		v, res, err := k.begin(ctx, h, a, m.Version)
-		if err != nil {
-			v = recorder.VerdictBusy
-		}
-		if v != recorder.VerdictNew {
-			k.finish(holders[:i+1], a, true, recorder.Result{})
-			return v, res
+	answers := make(chan verdict, len(holders))
+	for _, h := range holders {
+		go func() {
+			v, res, err := k.begin(ctx, h, a, version)
+			if err != nil {
+				v = recorder.VerdictBusy
+			}
+			answers <- verdict{v, res}
+		}()
+	}
+	v := tally(answers, len(holders))
+	if v.verdict != recorder.VerdictNew {
+		k.finish(holders, a, true, recorder.Result{})
+	}
+	return v.verdict, v.result
+}
+
+// tally returns VerdictNew once a quorum of the holders gave it, else the answer that says
+// most about an earlier attempt.
+func tally(answers <-chan verdict, n int) verdict {
+	news, best := 0, verdict{verdict: recorder.VerdictBusy}
+	for range n {
+		switch v := <-answers; {
+		case v.verdict == recorder.VerdictNew:
+			if news++; news >= recorder.Quorum(n) {
+				return v
+			}
+		case weight(v) > weight(best):
+			best = v
 		}
 	}
-	return recorder.VerdictNew, recorder.Result{}
+	return best
+}
+
+// weight orders the verdicts by how much they say.
+func weight(v verdict) int {
+	switch {
+	case v.verdict == recorder.VerdictDone && v.result.Known:
+		return 4
+	case v.verdict == recorder.VerdictDone, v.verdict == recorder.VerdictMismatch:
+		return 3
+	case v.verdict == recorder.VerdictRunning:
+		return 2
+	case v.verdict == recorder.VerdictUnsure:
+		return 1
+	}
+	return 0
 }
 
 func (k keeper) begin(ctx context.Context, to placer.VM, a recorder.Attempt, version uint64) (recorder.Verdict, recorder.Result, error) {
@@ -63,7 +105,7 @@
 // Finish records how an attempt ended. A canceled one is forgotten before this returns,
 // that the caller can try again at once.
 func (k keeper) Finish(a recorder.Attempt, canceled bool, res recorder.Result) {
-	holders := recorder.Holders(k.server.follower.Map(), recorder.Partition(a.Account, a.Key))
+	holders, _ := k.server.recorder.Holders(a.Account, a.Key)
 	if canceled {
 		k.finish(holders, a, true, res)
 		return
@@ -71,19 +113,24 @@
 	k.server.tasks.Go(func() { k.finish(holders, a, false, res) })
 }
 
+// finish tells all holders at once, and returns when all have answered or time is up.
 func (k keeper) finish(holders []placer.VM, a recorder.Attempt, canceled bool, res recorder.Result) {
 	s := k.server
+	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
 	for _, h := range holders {
 		if h.Same(s.self) {
 			s.finishRecord(a, canceled, res)
 			continue
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
-		_, _ = s.messenger.Call(ctx, h.Address, &wire.Request{Body: &wire.Request_Finish{
-			Finish: &wire.Finish{Attempt: toAttempt(a), Canceled: canceled, Result: toResult(res)},
-		}})
-		cancel()
+		wg.Go(func() {
+			_, _ = s.messenger.Call(ctx, h.Address, &wire.Request{Body: &wire.Request_Finish{
+				Finish: &wire.Finish{Attempt: toAttempt(a), Canceled: canceled, Result: toResult(res)},
+			}})
+		})
 	}
+	wg.Wait()
 }
 
 func (s *Server) finishRecord(a recorder.Attempt, canceled bool, res recorder.Result) {
--- a/pkg/mapper/map.go
+++ b/pkg/mapper/map.go
@@ -97,27 +97,28 @@
 	return best(placer.Hash(p.key()), cs)
 }
 
-// Holders returns the VMs that record an idempotency key: the first two in
-// rendezvous order, the second from another failure domain where there is one.
-func (m *Map) Holders(key string) []placer.VM {
+// Spread returns the first n VMs for a key in rendezvous order, each from another failure
+// domain as far as there are that many.
+func (m *Map) Spread(key string, n int) []placer.VM {
 	k := placer.Hash(key)
-	first, ok := best(k, m.all)
-	if !ok {
-		return nil
-	}
-	others := filter(m.all, func(c candidate) bool { return c.vm.Domain != first.Domain })
-	if len(others) == 0 {
-		others = filter(m.all, func(c candidate) bool { return c.vm.Address != first.Address })
-	}
-	second, ok := best(k, others)
-	if !ok {
-		return []placer.VM{first}
+	var picked []placer.VM
+	for len(picked) < min(n, len(m.all)) {
+		v, ok := best(k, filter(m.all, func(c candidate) bool { return fresh(picked, c.vm) }))
+		if !ok {
+			v, _ = best(k, filter(m.all, func(c candidate) bool { return !slices.ContainsFunc(picked, c.vm.Same) }))
+		}
+		picked = append(picked, v)
 	}
-	return []placer.VM{first, second}
+	return picked
+}
+
+// fresh reports whether a VM's failure domain is none of those picked.
+func fresh(picked []placer.VM, v placer.VM) bool {
+	return !slices.ContainsFunc(picked, func(p placer.VM) bool { return p.Domain == v.Domain })
 }
 
 func filter(cs []candidate, keep func(candidate) bool) []candidate {
-	var kept []candidate
+	kept := make([]candidate, 0, len(cs))
 	for _, c := range cs {
 		if keep(c) {
 			kept = append(kept, c)
--- a/pkg/recorder/recorder.go
+++ b/pkg/recorder/recorder.go
@@ -1,6 +1,7 @@
 package recorder
 
 import (
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -41,7 +42,10 @@
 	maxBytes = 32 << 20
 	// recordBytes is what a record takes besides its result, in bytes.
 	recordBytes = 256
-	partitions  = 512
+	// partitions is the number of units in which the holders of keys are placed.
+	partitions = 512
+	// holders is how many VMs hold a key's record.
+	holders = 3
 )
 
 // ErrNotYet is returned for a copy that needs a newer map than the holder has read.
@@ -85,16 +89,31 @@
 	return int(placer.Hash(account+"\x00"+key) % partitions)
 }
 
-func placeKey(partition int) string { return "record/" + strconv.Itoa(partition) }
+// Quorum returns how many of n holders must record an attempt before it runs.
+func Quorum(n int) int { return n/2 + 1 }
 
-// Holders returns the VMs that hold the records of a partition under a map.
-func Holders(m *mapper.Map, partition int) []placer.VM { return m.Holders(placeKey(partition)) }
+// copies returns from how many of n holders the records must be copied, so that every
+// attempt that a quorum recorded is among them.
+func copies(n int) int { return n - Quorum(n) + 1 }
+
+// table holds the holders of each partition under one map.
+type table [partitions][]placer.VM
+
+func newTable(m *mapper.Map) *table {
+	var t table
+	for p := range t {
+		t[p] = m.Spread("record/"+strconv.Itoa(p), holders)
+	}
+	return &t
+}
 
 type shelf struct {
 	// since is when the records began to be complete; attempts before it may be missing.
-	since   time.Time
-	ready   time.Time
+	since time.Time
+	ready time.Time
+	// waiting are earlier holders whose records may be copied, and missing is how many copies it takes.
 	waiting []placer.VM
+	missing int
 	records map[name]*Record
 }
 
@@ -103,7 +122,8 @@
 	mu      sync.Mutex
 	self    placer.VM
 	guard   time.Duration
-	current *mapper.Map
+	version uint64
+	table   *table
 	shelves map[int]*shelf
 	bytes   int
 }
@@ -111,48 +131,49 @@
 // New returns the recorder of the VM self; a holder without predecessors answers
 // after guard, by when no VM acts on an older map.
 func New(self placer.VM, guard time.Duration) *Recorder {
-	return &Recorder{self: self, guard: guard, current: mapper.NewMap(0, nil), shelves: map[int]*shelf{}}
+	return &Recorder{self: self, guard: guard, table: &table{}, shelves: map[int]*shelf{}}
+}
+
+// Holders returns the VMs that hold the records of an account's key, and the version of
+// the map that says so.
+func (r *Recorder) Holders(account, key string) ([]placer.VM, uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table[Partition(account, key)], r.version
 }
 
 // Apply moves from one map to the next.
 func (r *Recorder) Apply(now time.Time, old, next *mapper.Map) {
+	t := newTable(next)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.current = next
+	was := r.table
+	if old.Version != r.version {
+		was = newTable(old)
+	}
+	r.table, r.version = t, next.Version
 	for p := range partitions {
-		was, is := Holders(old, p), Holders(next, p)
 		s := r.shelves[p]
 		switch {
-		case !contains(is, r.self):
+		case !contains(t[p], r.self):
 			r.retire(now, p, s)
-		case s == nil || !contains(was, r.self):
+		case s == nil || !contains(was[p], r.self):
 			r.drop(s)
-			r.shelves[p] = r.open(now, old, next, was)
-		case len(s.waiting) > 0:
-			if s.waiting = alive(s.waiting, next); len(s.waiting) == 0 {
-				r.restart(now, s)
-			}
+			r.shelves[p] = r.open(now, old, next, was[p])
+		case s.missing > 0:
+			r.narrow(now, s, next)
 		}
 	}
 }
 
-func contains(vs []placer.VM, v placer.VM) bool {
-	for _, x := range vs {
-		if x.Same(v) {
-			return true
-		}
-	}
-	return false
-}
+func contains(vs []placer.VM, v placer.VM) bool { return slices.ContainsFunc(vs, v.Same) }
 
-func alive(vs []placer.VM, m *mapper.Map) []placer.VM {
-	var kept []placer.VM
-	for _, v := range vs {
-		if m.Has(v) {
-			kept = append(kept, v)
-		}
+// narrow gives up the earlier holders that the next map declares dead.
+func (r *Recorder) narrow(now time.Time, s *shelf, next *mapper.Map) {
+	s.waiting = slices.DeleteFunc(slices.Clone(s.waiting), func(v placer.VM) bool { return !next.Has(v) })
+	if len(s.waiting) < s.missing {
+		r.restart(now, s)
 	}
-	return kept
 }
 
 // retire keeps the records of a partition for its new holders to copy until they expire.
@@ -167,19 +188,19 @@
 }
 
 func (r *Recorder) open(now time.Time, old, next *mapper.Map, was []placer.VM) *shelf {
-	s := &shelf{since: now, ready: now, records: map[name]*Record{}, waiting: alive(was, next)}
+	s := &shelf{since: now, ready: now, records: map[name]*Record{}, waiting: was, missing: copies(len(was))}
 	if old.Version == 0 {
+		// Before the first map no attempt could run, so nothing is missing.
+		s.since, s.waiting, s.missing = now.Add(-Life), nil, 0
 		return s
 	}
-	if len(s.waiting) == 0 {
-		r.restart(now, s)
-	}
+	r.narrow(now, s, next)
 	return s
 }
 
 // restart begins a partition's records anew, once no VM acts on an older map.
 func (r *Recorder) restart(now time.Time, s *shelf) {
-	s.waiting = nil
+	s.waiting, s.missing = nil, 0
 	s.ready, s.since = now.Add(r.guard), now.Add(r.guard)
 }
 
@@ -196,13 +217,14 @@
 // Skip moves to a later map when those between were missed: every partition held
 // here begins anew, since other holders may have recorded attempts meanwhile.
 func (r *Recorder) Skip(now time.Time, next *mapper.Map) {
+	t := newTable(next)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.current = next
+	r.table, r.version = t, next.Version
 	for p := range partitions {
 		r.drop(r.shelves[p])
 		delete(r.shelves, p)
-		if contains(Holders(next, p), r.self) {
+		if contains(t[p], r.self) {
 			s := &shelf{records: map[name]*Record{}}
 			r.restart(now, s)
 			r.shelves[p] = s
@@ -210,7 +232,7 @@
 	}
 }
 
-// Need is a partition whose records are to be copied from one of some VMs.
+// Need is a partition whose records are to be copied from some VMs.
 type Need struct {
 	Partition int
 	From      []placer.VM
@@ -222,8 +244,8 @@
 	defer r.mu.Unlock()
 	var ns []Need
 	for p, s := range r.shelves {
-		if len(s.waiting) > 0 {
-			ns = append(ns, Need{Partition: p, From: s.waiting})
+		if s.missing > 0 {
+			ns = append(ns, Need{Partition: p, From: slices.Clone(s.waiting)})
 		}
 	}
 	return ns
@@ -243,11 +265,11 @@
 func (r *Recorder) Copy(now time.Time, partition int, version uint64) (Copy, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.current.Version < version {
+	if r.version < version {
 		return Copy{}, ErrNotYet
 	}
 	s := r.shelves[partition]
-	if s == nil || len(s.waiting) > 0 || now.Before(s.ready) {
+	if s == nil || s.missing > 0 || now.Before(s.ready) {
 		return Copy{}, ErrNotYet
 	}
 	r.expire(now, s)
@@ -259,44 +281,51 @@
 	return c, nil
 }
 
-// Receive takes the copy of a partition.
-func (r *Recorder) Receive(now time.Time, partition int, c Copy) {
+// Receive takes the copy of a partition from one of the earlier holders.
+func (r *Recorder) Receive(now time.Time, partition int, from placer.VM, c Copy) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.shelves[partition]
-	if s == nil || len(s.waiting) == 0 {
+	if s == nil || s.missing == 0 || !contains(s.waiting, from) {
 		return
 	}
-	s.waiting = nil
-	s.since = now.Add(-c.Reach)
+	s.waiting = slices.DeleteFunc(slices.Clone(s.waiting), from.Same)
+	if s.missing--; s.missing == 0 {
+		s.waiting = nil
+	}
+	if since := now.Add(-c.Reach); s.since.Equal(s.ready) || since.After(s.since) {
+		s.since = since
+	}
 	for i, e := range c.Records {
 		e.Began = now.Add(-c.Ages[i])
-		s.records[name{e.Account, e.Key}] = &e
-		r.bytes += e.size()
+		r.merge(s, &e)
 	}
 }
 
-// Abandon gives up copying a partition because no earlier holder can be reached any more;
-// its records begin anew after the guard.
-func (r *Recorder) Abandon(now time.Time, partition int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if s := r.shelves[partition]; s != nil && len(s.waiting) > 0 {
-		r.restart(now, s)
+// merge takes a copied record; one that says how its attempt ended counts more.
+func (r *Recorder) merge(s *shelf, e *Record) {
+	n := name{e.Account, e.Key}
+	if have, ok := s.records[n]; ok {
+		if have.Ended || !e.Ended {
+			return
+		}
+		r.remove(s, n)
 	}
+	s.records[n] = e
+	r.bytes += e.size()
 }
 
 // Begin records an attempt under the map of the given version. The attempt may run
-// only if all holders answer VerdictNew.
+// only if a quorum of the holders answers VerdictNew.
 func (r *Recorder) Begin(now time.Time, a Attempt, version uint64) (Verdict, Result) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p := Partition(a.Account, a.Key)
 	s := r.shelves[p]
-	if s == nil || version != r.current.Version || !contains(Holders(r.current, p), r.self) {
+	if s == nil || version != r.version || !contains(r.table[p], r.self) {
 		return VerdictBusy, Result{}
 	}
-	if len(s.waiting) > 0 || now.Before(s.ready) {
+	if s.missing > 0 || now.Before(s.ready) {
 		return VerdictBusy, Result{}
 	}
 	n := name{a.Account, a.Key}
@@ -401,7 +430,7 @@
 	st := Status{Partitions: len(r.shelves), Bytes: r.bytes}
 	for _, s := range r.shelves {
 		st.Records += len(s.records)
-		if len(s.waiting) > 0 {
+		if s.missing > 0 {
 			st.Waiting++
 		}
 	}
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -80,7 +80,6 @@
 
 dump() { "$proxy" dump --operators "127.0.1.$1:7070"; }
 ready() { dump "$1" | grep -q "\"contact\": \"$2\""; }
-members() { dump "$1" | grep -c '"incarnation"'; }
 dump_has() { dump "$1" | grep -q "$2"; }
 
 clean() {
