Prove the decisions by randomised runs, and mend what they found

What they found, each by a test that failed first:

- limiter: a partition whose chain of owners led to a VM that had died since, or round in a circle, was lost for good (TestFleetKeepsRate, 'a shard is lost for good').
A VM told to ask a dead VM, or one it asked before, now starts the partition empty after the guard.
A document may end in a comment without a line break.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -51,7 +51,8 @@
 	fleet position
 	conf  position
 	index atomic.Pointer[merger.Index]
-	// written is when each team's subtree was last written to the log, as its records say.
+	// written is when the last snapshot of each team was written, as it says. A change is none:
+	// a new reader cannot judge it without what it is based on.
 	written map[string]time.Time
 	// fleetWritten is the version of the last map whose members stand in the log whole.
 	fleetWritten uint64
@@ -87,6 +88,13 @@
 	return f.chain.Current()
 }
 
+// Founding returns what the first map is to replace while the log holds none.
+func (f *Follower) Founding() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.chain.Founding()
+}
+
 // Position is how far a VM has applied the streams.
 type Position struct {
 	ConfigurationNext uint64 `json:"configurationNext"`
@@ -213,10 +221,8 @@
 
 func (f *Follower) applyConfiguration(e Entry) {
 	r := f.tree.Append(e.Offset, e.Data)
-	if r.Outcome == merger.OutcomeAccepted || r.Outcome == merger.OutcomeRepeated {
-		if r.Record.At.After(f.written[r.Record.Team]) {
-			f.written[r.Record.Team] = r.Record.At
-		}
+	if r.Record.Kind == merger.KindSnapshot && r.Record.At.After(f.written[r.Record.Team]) {
+		f.written[r.Record.Team] = r.Record.At
 	}
 	f.OnConfiguration(r)
 }
--- a/internal/server/fleet.go
+++ b/internal/server/fleet.go
@@ -133,7 +133,7 @@
 	}
 	s.fleet.proposedAt = now
 	if m.Version == 0 {
-		c.Members = founders(c)
+		c.Members, c.Replaces = founders(c), s.follower.Founding()
 	}
 	s.append(ctx, follower.StreamFleet, c)
 }
--- a/pkg/detector/detector.go
+++ b/pkg/detector/detector.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/jacinthproxy/jacinthproxy/pkg/asserter"
@@ -45,8 +44,11 @@
 type Instance struct {
 	ID    string `json:"id"`
 	State State  `json:"state"`
-	// Evidence is the sum of log-likelihood ratios, sick against well; Threshold ejects.
+	// Evidence is the larger of the two sums of log-likelihood ratios, sick against well;
+	// Threshold ejects.
 	Evidence float64 `json:"evidence"`
+	// Sums are the evidence that it fails and that it is slow, which it may be without the other.
+	Sums Ratios `json:"sums"`
 	// Failures is the recent share of failed requests.
 	Failures float64 `json:"failures"`
 	// EjectedAt is when it was last ejected.
@@ -57,9 +59,12 @@
 	Ejections int `json:"ejections"`
 	leaving   bool
 	liveSince time.Time
-	trial     float64
+	trial     Ratios
 }
 
+// clear forgets the evidence.
+func (e *Instance) clear() { e.Evidence, e.Sums = 0, Ratios{} }
+
 // Event is a change of an instance's state.
 type Event struct {
 	Instance string
@@ -72,6 +77,7 @@
 type Detector struct {
 	instances []*Instance
 	routes    map[string]*latencies
+	outcomes  outcomes
 	floor     float64
 	asserter  *asserter.Asserter
 	notify    func(Event)
@@ -96,6 +102,7 @@
 			return i
 		}
 	}
+	d.outcomes.perInstance = append(d.outcomes.perInstance, tally{})
 	d.instances = append(d.instances, &Instance{ID: id, HoldOff: minHoldOff, liveSince: now})
 	return len(d.instances) - 1
 }
@@ -125,7 +132,7 @@
 		d.restoreFloor(now)
 		return
 	}
-	e.Evidence = 0
+	e.clear()
 	d.set(now, e, StateLive)
 }
 
@@ -133,31 +140,34 @@
 // Latency is used with OutcomeAnswered and OutcomeOverdue.
 func (d *Detector) Observe(now time.Time, i int, route string, o Outcome, latency time.Duration) {
 	e := d.instances[i]
-	r := d.ratio(i, route, o, latency)
+	r := d.ratios(i, route, o, latency)
 	if e.State == StateTrial {
 		d.tryOut(now, e, r)
 		return
 	}
-	e.Evidence = max(0, e.Evidence+r)
+	e.Sums = Ratios{max(0, e.Sums.Failure+r.Failure), max(0, e.Sums.Latency+r.Latency)}
+	e.Evidence = e.Sums.largest()
 	d.eject(now, i)
 }
 
-func (d *Detector) ratio(i int, route string, o Outcome, latency time.Duration) float64 {
+func (d *Detector) ratios(i int, route string, o Outcome, latency time.Duration) Ratios {
 	e := d.instances[i]
-	common := d.commonFailures(i)
+	common := d.outcomes.others(i)
 	switch o {
 	case OutcomeShed, OutcomeProbeAnswered:
-		return 0
+		return Ratios{}
 	case OutcomeProbeFailed:
-		return failureRatio(true, common)
+		return Ratios{Failure: failureRatio(true, common)}
 	case OutcomeFailed:
 		e.Failures += decay * (1 - e.Failures)
-		return failureRatio(true, common)
+		d.outcomes.add(i, true)
+		return Ratios{Failure: failureRatio(true, common)}
 	case OutcomeOverdue:
-		return max(0, d.latencyRatio(i, route, latency, false))
+		return Ratios{Latency: max(0, d.latencyRatio(i, route, latency, false))}
 	}
 	e.Failures -= decay * e.Failures
-	return failureRatio(false, common) + d.latencyRatio(i, route, latency, true)
+	d.outcomes.add(i, false)
+	return Ratios{Failure: failureRatio(false, common), Latency: d.latencyRatio(i, route, latency, true)}
 }
 
 func (d *Detector) latencyRatio(i int, route string, latency time.Duration, remember bool) float64 {
@@ -189,21 +199,6 @@
 	return l.slow(i)
 }
 
-// commonFailures returns the median share of failures at the other instances.
-func (d *Detector) commonFailures(i int) float64 {
-	var shares []float64
-	for j, e := range d.instances {
-		if j != i && !e.leaving {
-			shares = append(shares, e.Failures)
-		}
-	}
-	if len(shares) == 0 {
-		return 0
-	}
-	slices.Sort(shares)
-	return shares[len(shares)/2]
-}
-
 // eject takes an instance out whose evidence suffices, if the floor allows it or it is
 // clearly worse than one that is out.
 func (d *Detector) eject(now time.Time, i int) {
@@ -216,7 +211,7 @@
 		if best == nil || best.Evidence+swapMargin > e.Evidence {
 			return
 		}
-		best.Evidence = 0
+		best.clear()
 		d.set(now, best, StateLive)
 	}
 	d.out(now, e)
@@ -253,19 +248,24 @@
 func (d *Detector) Tick(now time.Time) {
 	for _, e := range d.instances {
 		if e.State == StateEjected && now.Sub(e.EjectedAt) >= e.HoldOff {
-			e.trial = 0
+			e.trial = Ratios{}
 			d.set(now, e, StateTrial)
 		}
 	}
 }
 
-func (d *Detector) tryOut(now time.Time, e *Instance, r float64) {
-	e.trial += r
+func (d *Detector) tryOut(now time.Time, e *Instance, r Ratios) {
+	if r.Latency == 0 {
+		// Too few others ran to compare with, so the failures speak for both.
+		r.Latency = r.Failure
+	}
+	e.trial.Failure += r.Failure
+	e.trial.Latency += r.Latency
 	switch {
-	case e.trial <= trialClear:
-		e.Evidence = 0
+	case e.trial.largest() <= trialClear:
+		e.clear()
 		d.set(now, e, StateLive)
-	case e.trial >= trialBlame:
+	case e.trial.largest() >= trialBlame:
 		d.out(now, e)
 	}
 }
@@ -307,7 +307,7 @@
 		if best == nil {
 			break
 		}
-		best.Evidence = 0
+		best.clear()
 		d.set(now, best, StateLive)
 	}
 	d.checkFloor()
--- a/pkg/detector/evidence.go
+++ b/pkg/detector/evidence.go
@@ -51,6 +51,16 @@
 	maxRoutes = 1024
 )
 
+// Ratios are log-likelihood ratios, or sums of them, of how often an instance fails and of
+// how slow it is. They are kept apart because an instance that fails may be fast and one
+// that is slow may fail never: one sum would let each clear the other.
+type Ratios struct {
+	Failure float64 `json:"failure"`
+	Latency float64 `json:"latency"`
+}
+
+func (r Ratios) largest() float64 { return max(r.Failure, r.Latency) }
+
 // latencyBin is a range of quantiles among the others' latencies, up to upper, with
 // the share of requests in it at a well and at a sick instance.
 type latencyBin struct {
--- a/pkg/limiter/owner.go
+++ b/pkg/limiter/owner.go
@@ -1,6 +1,7 @@
 package limiter
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -59,8 +60,10 @@
 }
 
 type partition struct {
-	state   State
-	from    placer.VM
+	state State
+	from  placer.VM
+	// asked are the VMs that said that they never held the partition.
+	asked   []placer.VM
 	until   time.Time
 	base    time.Time
 	full    bool
@@ -74,29 +77,31 @@
 	self       placer.VM
 	guard      time.Duration
 	asserter   *asserter.Asserter
+	current    *mapper.Map
 	partitions map[mapper.Partition]*partition
 }
 
 // NewOwner returns the owner part of the VM self. A partition whose owner died is
 // granted from only after guard, by when no VM acts on an older map.
 func NewOwner(self placer.VM, guard time.Duration, a *asserter.Asserter) *Owner {
-	return &Owner{self: self, guard: guard, asserter: a, partitions: map[mapper.Partition]*partition{}}
+	return &Owner{self: self, guard: guard, asserter: a, current: mapper.NewMap(0, nil), partitions: map[mapper.Partition]*partition{}}
 }
 
 // Apply moves from one map to the next. The domains are those that accounts have shards in.
 func (o *Owner) Apply(now time.Time, old, next *mapper.Map, domains []string) {
-	o.each(domains, func(p mapper.Partition) { o.move(now, p, old, next) })
+	o.each(next, domains, func(p mapper.Partition) { o.move(now, p, old, next) })
 }
 
 // Skip moves from one map to a later one when those between were missed. What others
 // held meanwhile is not known, so a partition that is new here starts empty after the guard.
 func (o *Owner) Skip(now time.Time, old, next *mapper.Map, domains []string) {
-	o.each(domains, func(p mapper.Partition) { o.jump(now, p, old, next) })
+	o.each(next, domains, func(p mapper.Partition) { o.jump(now, p, old, next) })
 }
 
-func (o *Owner) each(domains []string, f func(mapper.Partition)) {
+func (o *Owner) each(next *mapper.Map, domains []string, f func(mapper.Partition)) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.current = next
 	for _, d := range domains {
 		for i := range mapper.Partitions {
 			f(mapper.Partition{Domain: d, Index: i})
@@ -234,10 +239,10 @@
 		return
 	}
 	switch {
-	case h.Redirect != nil && h.Redirect.Same(o.self), h.Empty:
-		o.partitions[n.Partition] = o.guarded(now)
 	case h.Redirect != nil:
-		s.from = *h.Redirect
+		o.redirect(now, n.Partition, s, *h.Redirect)
+	case h.Empty:
+		o.partitions[n.Partition] = o.guarded(now)
 	default:
 		s.state, s.full, s.base = StateHeld, h.Full, now.Add(-h.Age)
 		s.buckets = make(map[string]*Bucket, len(h.Levels))
@@ -247,6 +252,17 @@
 	}
 }
 
+// redirect turns to another VM. When that is dead, or was asked before so that all who
+// could hold the partition have renounced it, the partition starts empty.
+func (o *Owner) redirect(now time.Time, p mapper.Partition, s *partition, to placer.VM) {
+	s.asked = append(s.asked, s.from)
+	if to.Same(o.self) || !o.current.Has(to) || slices.ContainsFunc(s.asked, to.Same) {
+		o.partitions[p] = o.guarded(now)
+		return
+	}
+	s.from = to
+}
+
 // Grant is the answer to an ask.
 type Grant struct {
 	Tokens Tokens
@@ -311,3 +327,14 @@
 	}
 	return st
 }
+
+// StateOf returns where a partition stands here, and whom it waits for.
+func (o *Owner) StateOf(p mapper.Partition) (State, placer.VM) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	s := o.partitions[p]
+	if s == nil {
+		return StateNone, placer.VM{}
+	}
+	return s.state, s.from
+}
--- a/pkg/mapper/map.go
+++ b/pkg/mapper/map.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"slices"
 	"strconv"
+	"sync"
 
 	"github.com/jacinthproxy/jacinthproxy/pkg/placer"
 )
@@ -31,13 +32,15 @@
 	Leaving bool `json:"leaving,omitempty"`
 }
 
-// Map is one version of the fleet map. It is immutable.
+// Map is one version of the fleet map. It does not change and is safe for concurrent use.
 type Map struct {
 	// Version is the log offset, plus one, of the change that made this map; zero is the empty map.
 	Version uint64
 	members []Member
 	domains map[string][]candidate
 	all     []candidate
+	mu      sync.Mutex
+	tables  map[string][]placer.VM
 }
 
 type candidate struct {
@@ -47,7 +50,7 @@
 
 // NewMap returns a map of the given version and members.
 func NewMap(version uint64, members []Member) *Map {
-	m := &Map{Version: version, members: slices.Clone(members), domains: map[string][]candidate{}}
+	m := &Map{Version: version, members: slices.Clone(members), domains: map[string][]candidate{}, tables: map[string][]placer.VM{}}
 	slices.SortFunc(m.members, func(a, b Member) int { return placer.Compare(a.VM, b.VM) })
 	for _, e := range m.members {
 		if e.Leaving {
@@ -90,11 +93,29 @@
 // Owner returns the VM that owns a partition, or false if no VM can.
 // A failure domain without members is served by the members of the others.
 func (m *Map) Owner(p Partition) (placer.VM, bool) {
-	cs := m.domains[p.Domain]
+	if len(m.all) == 0 {
+		return placer.VM{}, false
+	}
+	return m.owners(p.Domain)[p.Index], true
+}
+
+// owners returns the owners of a domain's partitions, computed once for each map.
+func (m *Map) owners(domain string) []placer.VM {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if t, ok := m.tables[domain]; ok {
+		return t
+	}
+	cs := m.domains[domain]
 	if len(cs) == 0 {
 		cs = m.all
 	}
-	return best(placer.Hash(p.key()), cs)
+	t := make([]placer.VM, Partitions)
+	for i := range t {
+		t[i], _ = best(placer.Hash(Partition{domain, i}.key()), cs)
+	}
+	m.tables[domain] = t
+	return t
 }
 
 // Spread returns the first n VMs for a key in rendezvous order, each from another failure
--- a/pkg/parser/parser.go
+++ b/pkg/parser/parser.go
@@ -26,7 +26,8 @@
 // repeated names and values of the wrong type become findings of the document.
 func Parse(file string, data []byte, v any) *Document {
 	d := &Document{file: file, data: data, offsets: map[string]int{"": 0}}
-	root, err := hujson.Parse(data)
+	// A comment may end the document without a line break.
+	root, err := hujson.Parse(append(bytes.Clone(data), '\n'))
 	if err != nil {
 		d.syntax(err)
 		return d
--- /dev/null
+++ b/pkg/recorder/recorder_test.go
@@ -0,0 +1,302 @@
+package recorder_test
+
+import (
+	"flag"
+	"fmt"
+	"net/netip"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/jacinthproxy/jacinthproxy/internal/chooser"
+	"github.com/jacinthproxy/jacinthproxy/pkg/mapper"
+	"github.com/jacinthproxy/jacinthproxy/pkg/placer"
+	"github.com/jacinthproxy/jacinthproxy/pkg/recorder"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	os.Exit(m.Run())
+}
+
+const (
+	contact = 5 * time.Second
+	guard   = 2*contact + time.Second
+	keys    = 3
+)
+
+var domains = []string{"a", "b", "c"}
+
+type node struct {
+	vm      placer.VM
+	rec     *recorder.Recorder
+	applied int
+	freshAt time.Time
+	dead    bool
+	cut     bool
+}
+
+// model is a fleet of holders in virtual time, through which attempts come at random.
+type model struct {
+	choose chooser.Chooser
+	now    time.Time
+	maps   []*mapper.Map
+	nodes  []*node
+	// runs counts how often a request with each key ran, and ranAt when last.
+	runs  [keys]int
+	ranAt [keys]time.Time
+	tried int
+	// lost says that holders died faster than their records could be copied; then only
+	// declared retries are safe.
+	lost bool
+	// quorum is how many holders must agree; the model shows what fewer would do.
+	quorum func(int) int
+}
+
+func newModel(c chooser.Chooser) *model {
+	m := &model{choose: c, now: time.Unix(100000, 0), quorum: recorder.Quorum, maps: []*mapper.Map{mapper.NewMap(0, nil)}}
+	var ms []mapper.Member
+	for i := range 6 {
+		m.boot(i)
+		if i < 4 {
+			ms = append(ms, mapper.Member{VM: m.nodes[i].vm})
+		}
+	}
+	m.maps = append(m.maps, mapper.NewMap(1, ms))
+	return m
+}
+
+func (m *model) boot(i int) {
+	vm := placer.VM{
+		Address: netip.MustParseAddrPort(fmt.Sprintf("127.0.0.%d:1", i+1)), Domain: domains[i%len(domains)],
+		Incarnation: placer.NewIncarnation(m.now),
+	}
+	n := &node{vm: vm, rec: recorder.New(vm, guard)}
+	if i < len(m.nodes) {
+		m.nodes[i] = n
+		return
+	}
+	m.nodes = append(m.nodes, n)
+}
+
+func (m *model) step() {
+	m.now = m.now.Add(time.Duration(m.choose.IntN(400)) * time.Millisecond)
+	i := m.choose.IntN(len(m.nodes))
+	n := m.nodes[i]
+	switch m.choose.IntN(10) {
+	case 0:
+		n.cut = chooser.Hit(m.choose, 2)
+	case 1:
+		m.replace(i, n)
+	case 2, 3, 4:
+		m.copyAll()
+	default:
+		m.attempt()
+	}
+	for _, n := range m.nodes {
+		if !n.cut && !n.dead && chooser.Hit(m.choose, 2) {
+			m.read(n)
+		}
+	}
+}
+
+func (m *model) read(n *node) {
+	for n.applied < len(m.maps)-1 {
+		n.rec.Apply(m.now, m.maps[n.applied], m.maps[n.applied+1])
+		n.applied++
+	}
+	n.freshAt = m.now
+}
+
+// replace kills a VM and puts a new incarnation in its place, once all others have copied
+// what they need, so that at most one holder of a key is lost at a time.
+func (m *model) replace(i int, n *node) {
+	for _, o := range m.nodes {
+		if o.applied != len(m.maps)-1 || len(o.rec.Needs()) > 0 {
+			return
+		}
+	}
+	cur := m.maps[len(m.maps)-1]
+	c := mapper.Change{Replaces: cur.Version}
+	if e, ok := cur.Member(n.vm.Address); ok {
+		c.Removed = []placer.VM{e.VM}
+	}
+	m.boot(i)
+	c.Added = []placer.VM{m.nodes[i].vm}
+	next, err := cur.Apply(cur.Version, c)
+	if err == nil {
+		m.maps = append(m.maps, next)
+	}
+}
+
+func (m *model) find(vm placer.VM) *node {
+	for _, n := range m.nodes {
+		if n.vm.Same(vm) && !n.dead {
+			return n
+		}
+	}
+	return nil
+}
+
+func (m *model) copyAll() {
+	for _, n := range m.nodes {
+		for _, need := range n.rec.Needs() {
+			for _, from := range need.From {
+				f := m.find(from)
+				if f == nil || f.cut || n.cut || chooser.Hit(m.choose, 3) {
+					continue
+				}
+				if c, err := f.rec.Copy(m.now, need.Partition, m.maps[n.applied].Version); err == nil {
+					n.rec.Receive(m.now, need.Partition, from, c)
+				}
+			}
+		}
+	}
+}
+
+// attempt sends one attempt through a random VM; any message may be lost, before or after it acts.
+func (m *model) attempt() {
+	n := m.nodes[m.choose.IntN(len(m.nodes))]
+	if n.dead || n.applied == 0 || m.now.Sub(n.freshAt) > contact {
+		return
+	}
+	k := m.choose.IntN(keys)
+	m.tried++
+	a := recorder.Attempt{Account: "t/a", Key: fmt.Sprint("key", k), ID: fmt.Sprint("try", m.tried)}
+	holders, version := n.rec.Holders(a.Account, a.Key)
+	news := 0
+	for _, h := range holders {
+		f := m.find(h)
+		if f == nil || f.cut || m.now.Sub(f.freshAt) > contact || chooser.Hit(m.choose, 4) {
+			continue
+		}
+		if v, _ := f.rec.Begin(m.now, a, version); v == recorder.VerdictNew && !chooser.Hit(m.choose, 4) {
+			news++
+		}
+	}
+	if news < m.quorum(len(holders)) {
+		for _, h := range holders {
+			if f := m.find(h); f != nil && !chooser.Hit(m.choose, 4) {
+				f.rec.Cancel(a)
+			}
+		}
+		return
+	}
+	if m.now.Sub(m.ranAt[k]) > recorder.Life {
+		m.runs[k] = 0
+	}
+	m.runs[k]++
+	m.ranAt[k] = m.now
+}
+
+const modelSteps = 250
+
+func TestRunsAtMostOnce(t *testing.T) {
+	ran := 0
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(chooser.Property(t))
+		for range modelSteps {
+			m.step()
+			for k, n := range m.runs {
+				require.LessOrEqual(t, n, 1, "key %d", k)
+				ran += n
+			}
+		}
+	})
+	require.Positive(t, ran)
+}
+
+// TestOneHolderIsNotEnough shows that the model finds the fault when one holder's word suffices.
+func TestOneHolderIsNotEnough(t *testing.T) {
+	twice := 0
+	for seed := range uint64(20) {
+		m := newModel(chooser.Seeded(seed))
+		m.quorum = func(int) int { return 1 }
+		for range modelSteps {
+			m.step()
+		}
+		for _, n := range m.runs {
+			twice += max(0, n-1)
+		}
+	}
+	require.Positive(t, twice)
+}
+
+func single(t *testing.T, now time.Time) *recorder.Recorder {
+	t.Helper()
+	vm := placer.VM{Address: netip.MustParseAddrPort("127.0.0.1:1"), Domain: "a", Incarnation: 1}
+	r := recorder.New(vm, guard)
+	r.Apply(now, mapper.NewMap(0, nil), mapper.NewMap(1, []mapper.Member{{VM: vm}}))
+	return r
+}
+
+func TestVerdicts(t *testing.T) {
+	now := time.Unix(1e6, 0)
+	r := single(t, now)
+	a := recorder.Attempt{Account: "t/a", Key: "k", ID: "1", Fingerprint: 7}
+	begin := func(a recorder.Attempt) recorder.Verdict {
+		v, _ := r.Begin(now, a, 1)
+		return v
+	}
+	require.Equal(t, recorder.VerdictNew, begin(a))
+	again := a
+	again.ID = "2"
+	require.Equal(t, recorder.VerdictRunning, begin(again))
+	other := again
+	other.Fingerprint = 8
+	require.Equal(t, recorder.VerdictMismatch, begin(other))
+	r.Cancel(again)
+	require.Equal(t, recorder.VerdictRunning, begin(again), "only the attempt itself cancels its record")
+	r.Finish(a, recorder.Result{Known: true, Status: 201, Body: []byte("done")})
+	v, res := r.Begin(now, again, 1)
+	require.Equal(t, recorder.VerdictDone, v)
+	require.Equal(t, 201, res.Status)
+	_, old := r.Begin(now, again, 2)
+	require.False(t, old.Known, "an attempt under another map is refused")
+	now = now.Add(recorder.Life + time.Second)
+	require.Equal(t, recorder.VerdictNew, begin(again), "the record has expired")
+}
+
+func TestRetryBeyondMemoryIsUnsure(t *testing.T) {
+	now := time.Unix(1e6, 0)
+	vm := placer.VM{Address: netip.MustParseAddrPort("127.0.0.1:1"), Domain: "a", Incarnation: 1}
+	old := placer.VM{Address: netip.MustParseAddrPort("127.0.0.2:1"), Domain: "b", Incarnation: 1}
+	r := recorder.New(vm, guard)
+	r.Apply(now, mapper.NewMap(1, []mapper.Member{{VM: old}}), mapper.NewMap(2, []mapper.Member{{VM: vm}}))
+	a := recorder.Attempt{Account: "t/a", Key: "k", ID: "1", Retry: true}
+	v, _ := r.Begin(now, a, 2)
+	require.Equal(t, recorder.VerdictBusy, v, "the guard is not over")
+	now = now.Add(guard)
+	v, _ = r.Begin(now, a, 2)
+	require.Equal(t, recorder.VerdictUnsure, v)
+	a.Retry = false
+	v, _ = r.Begin(now, a, 2)
+	require.Equal(t, recorder.VerdictNew, v)
+}
+
+func ExampleRecorder() {
+	now := time.Unix(1e6, 0)
+	vm := placer.VM{Address: netip.MustParseAddrPort("127.0.0.1:1"), Domain: "a", Incarnation: 1}
+	r := recorder.New(vm, guard)
+	r.Apply(now, mapper.NewMap(0, nil), mapper.NewMap(1, []mapper.Member{{VM: vm}}))
+	first, _ := r.Begin(now, recorder.Attempt{Account: "t/a", Key: "order-7", ID: "1"}, 1)
+	second, _ := r.Begin(now, recorder.Attempt{Account: "t/a", Key: "order-7", ID: "2"}, 1)
+	fmt.Println(first, second)
+	// Output: new running
+}
+
+func BenchmarkBegin(b *testing.B) {
+	now := time.Unix(1e6, 0)
+	vm := placer.VM{Address: netip.MustParseAddrPort("127.0.0.1:1"), Domain: "a", Incarnation: 1}
+	r := recorder.New(vm, guard)
+	r.Apply(now, mapper.NewMap(0, nil), mapper.NewMap(1, []mapper.Member{{VM: vm}}))
+	for i := 0; b.Loop(); i++ {
+		a := recorder.Attempt{Account: "t/a", Key: fmt.Sprint(i), ID: "1"}
+		r.Begin(now, a, 1)
+		r.Cancel(a)
+	}
+}
