--- a/internal/messenger/constants.go
+++ b/internal/messenger/constants.go
@@ -13,8 +13,10 @@
 	redialPause = 300 * time.Millisecond
 	// refusedPause is how long a peer that refused the Hello is not dialed again.
 	refusedPause = 5 * time.Second
-	// writeTimeout bounds a write to a session whose other end does not read.
-	writeTimeout = 2 * time.Second
+	// writeTimeout bounds a write to a session whose other end does not read, and a ping.
+	writeTimeout = time.Second
+	// silence is how long a reply may take until the session is probed.
+	silence = 300 * time.Millisecond
 	// keepAlive is how often an idle session is probed.
 	keepAlive = 20 * time.Second
 	// maxIdle bounds the streams that a session keeps for later calls.
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -35,8 +35,8 @@
 	Fleet string
 	// Layout is a hash of the settings that all daemons must share.
 	Layout uint64
-	// Local is the IP address that sessions are dialed from.
-	Local netip.Addr
+	// Dial opens a connection to a peer.
+	Dial func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
 	// ClientTLS and ServerTLS protect the sessions; nil means plain TCP.
 	ClientTLS, ServerTLS *tls.Config
 	Handler              Handler
@@ -197,8 +197,7 @@
 func (m *Messenger) dial(ctx context.Context, to netip.AddrPort) (*session, error) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), dialTimeout)
 	defer cancel()
-	d := net.Dialer{LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(m.Local, 0))}
-	c, err := d.DialContext(ctx, "tcp", to.String())
+	c, err := m.Dial(ctx, to)
 	if err != nil {
 		return nil, err
 	}
@@ -236,6 +235,14 @@
 	return nil
 }
 
+// DialFrom returns a function that opens TCP connections from an IP address.
+func DialFrom(local netip.Addr) func(context.Context, netip.AddrPort) (net.Conn, error) {
+	d := net.Dialer{LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(local, 0))}
+	return func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+		return d.DialContext(ctx, "tcp", to.String())
+	}
+}
+
 // byteReader reads one byte at a time, so that a buffer takes nothing that follows the Hello.
 type byteReader struct{ r io.Reader }
 
--- a/internal/messenger/session.go
+++ b/internal/messenger/session.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -28,6 +29,20 @@
 	mux  *yamux.Session
 	mu   sync.Mutex
 	idle []*Stream
+	// checking says that a ping is on its way.
+	checking atomic.Bool
+}
+
+// check closes the session if its peer does not answer a ping, so that the calls that
+// wait for a reply end.
+func (s *session) check() {
+	if s.checking.Swap(true) {
+		return
+	}
+	defer s.checking.Store(false)
+	if _, err := s.mux.Ping(); err != nil {
+		_ = s.mux.Close()
+	}
 }
 
 // Stream carries one call at a time.
@@ -71,6 +86,12 @@
 
 // Read receives the next message of a reply.
 func (s *Stream) Read(m proto.Message) error {
+	var t *time.Timer
+	t = time.AfterFunc(silence, func() {
+		s.session.check()
+		t.Reset(silence)
+	})
+	defer t.Stop()
 	if err := read(s.r, m); err != nil {
 		return errors.Mark(errors.Wrap(err, "reply"), ErrLost)
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -139,8 +139,8 @@
 // secure makes the messenger and reads the certificates.
 func (s *Server) secure() error {
 	o := messenger.Options{
-		Self: s.self, Fleet: s.settings.Fleet.Name, Layout: s.settings.layout(), Local: s.settings.Peers.Listen.Addr(),
-		Handler: s, Logger: s.logger, Clock: s.clock,
+		Self: s.self, Fleet: s.settings.Fleet.Name, Layout: s.settings.layout(), Handler: s, Dial: messenger.DialFrom(s.settings.Peers.Listen.Addr()),
+		Logger: s.logger, Clock: s.clock,
 	}
 	if t := s.settings.Peers.TLS; t != nil {
 		c, err := newCertificate(*t, s.clock, s.logger)
--- a/pkg/recorder/recorder_test.go
+++ b/pkg/recorder/recorder_test.go
@@ -50,9 +50,6 @@
 	runs  [keys]int
 	ranAt [keys]time.Time
 	tried int
-	// lost says that holders died faster than their records could be copied; then only
-	// declared retries are safe.
-	lost bool
 	// quorum is how many holders must agree; the model shows what fewer would do.
 	quorum func(int) int
 }
