--- a/internal/messenger/session.go
+++ b/internal/messenger/session.go
@@ -45,6 +45,23 @@
 	}
 }
 
+// watch checks the session again and again until the function that it returns is called.
+func (s *session) watch() (stop func()) {
+	var done atomic.Bool
+	var check func()
+	check = func() {
+		if !done.Load() {
+			s.check()
+			time.AfterFunc(silence, check)
+		}
+	}
+	t := time.AfterFunc(silence, check)
+	return func() {
+		done.Store(true)
+		t.Stop()
+	}
+}
+
 // Stream carries one call at a time.
 type Stream struct {
 	conn    net.Conn
@@ -86,12 +103,7 @@
 
 // Read receives the next message of a reply.
 func (s *Stream) Read(m proto.Message) error {
-	var t *time.Timer
-	t = time.AfterFunc(silence, func() {
-		s.session.check()
-		t.Reset(silence)
-	})
-	defer t.Stop()
+	defer s.session.watch()()
 	if err := read(s.r, m); err != nil {
 		return errors.Mark(errors.Wrap(err, "reply"), ErrLost)
 	}
