--- a/cmd/measure/route.go
+++ b/cmd/measure/route.go
@@ -20,6 +20,8 @@
 	hedgeFactor = 1.5
 	hedgeShare  = 0.1
 	hedgeBurst  = 10
+	// lookEvery is how often a dispatcher drops what can no longer be met.
+	lookEvery = 20 * time.Millisecond
 	// lostAfter is how long it takes to notice that a dispatcher is silent.
 	lostAfter = 1300 * time.Millisecond
 )
@@ -54,6 +56,7 @@
 	budget    float64
 	running   map[*job]struct{}
 	dead      bool
+	lookedAt  time.Duration
 }
 
 type job struct {
@@ -161,8 +164,11 @@
 }
 
 func (d *dispatch) pump() {
-	for _, it := range d.scheduler.Expired(d.c.s.time()) {
-		d.c.s.result.shed(it.Value.r)
+	if d.c.s.now-d.lookedAt >= lookEvery {
+		d.lookedAt = d.c.s.now
+		for _, it := range d.scheduler.Expired(d.c.s.time()) {
+			d.c.s.result.shed(it.Value.r)
+		}
 	}
 	for {
 		it, i, ok := d.scheduler.Next(d.c.s.time())
--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -33,6 +33,8 @@
 	match   merger.Match
 	account merger.Account
 	began   time.Time
+	// deadline is when the caller, or the route, gives up.
+	deadline time.Time
 }
 
 // refusal is an error that ends a request before it is sent to a dispatcher.
@@ -110,6 +112,7 @@
 		return refuse(dispatcher.ReasonNoRoute, http.StatusNotFound, "no route matches the path and method")
 	}
 	x.match = m
+	x.deadline = x.began.Add(x.timeout())
 	return nil
 }
 
@@ -177,7 +180,7 @@
 	if x.match.Route.Open {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(x.echo.Request().Context(), x.timeout())
+	ctx, cancel := context.WithDeadline(x.echo.Request().Context(), x.deadline)
 	defer cancel()
 	switch err := x.Admitter.Admit(ctx, x.account); {
 	case errors.Is(err, limiter.ErrOverRate):
@@ -297,7 +300,7 @@
 	h.Del("Content-Length")
 	return x.Sender.Send(ctx, x.match, dispatcher.Request{
 		ID: x.id, Service: x.match.ServiceName(), Account: x.account.Name, Weight: x.weight(), Route: x.match.RouteName(),
-		Method: r.Method, Target: r.URL.RequestURI(), Header: h, Body: x.body, Deadline: x.began.Add(x.timeout()),
+		Method: r.Method, Target: r.URL.RequestURI(), Header: h, Body: x.body, Deadline: x.deadline,
 		Idempotent: x.match.Route.Idempotent,
 	})
 }
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -46,7 +46,6 @@
 	Options
 	mu    sync.Mutex
 	tree  *merger.Tree
-	older *merger.Tree
 	chain *mapper.Chain
 	fleet position
 	conf  position
@@ -184,9 +183,10 @@
 	p.tail.reset()
 	if stream == StreamConfiguration {
 		if gap {
-			f.older = f.tree
+			f.tree = merger.NewAfterGap(f.tree, b.First, f.Asserter)
+		} else {
+			f.tree = merger.New(b.First, f.Asserter)
 		}
-		f.tree = merger.New(b.First, f.Asserter)
 		return
 	}
 	f.lost = gap
@@ -214,7 +214,7 @@
 			f.applyFleet(e)
 		}
 	}
-	if applied && stream == StreamConfiguration && f.older == nil {
+	if applied && stream == StreamConfiguration {
 		f.index.Store(f.tree.Index(f.index.Load()))
 	}
 }
@@ -262,14 +262,10 @@
 func (f *Follower) settle(stream string, p *position, began time.Time) {
 	if stream == StreamConfiguration {
 		f.tree.Settle()
-		if f.older != nil {
-			f.tree.Keep(f.older)
-			f.older = nil
-		}
 		f.index.Store(f.tree.Index(f.index.Load()))
 	}
 	p.readAt = began
-	if f.lost || f.conf.readAt.IsZero() || f.fleet.readAt.IsZero() {
+	if f.lost || !f.tree.Sure() || f.conf.readAt.IsZero() || f.fleet.readAt.IsZero() {
 		return
 	}
 	if f.conf.readAt.Before(f.fleet.readAt) {
@@ -280,11 +276,12 @@
 	f.Witness.Log(began)
 }
 
-// Ready reports whether this VM has ever applied all of the configuration.
+// Ready reports whether this VM has a state that it may act on and pass on: it has begun to
+// read, and has missed nothing that it does not know by now.
 func (f *Follower) Ready() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.conf.begun && f.fleet.begun
+	return f.conf.begun && f.fleet.begun && !f.lost && f.tree.Sure()
 }
 
 // Relay returns the records of a stream from an offset on for a peer, and false if
@@ -348,18 +345,19 @@
 		return err
 	}
 	if newer {
-		f.conf.next, f.conf.begun, f.older = s.Configuration.Next, true, nil
+		f.conf.next = s.Configuration.Next
 		f.conf.tail.reset()
 		f.index.Store(f.tree.Index(f.index.Load()))
 	}
-	if s.FleetNext > f.fleet.next {
+	if s.FleetNext > f.fleet.next || f.lost && s.FleetNext == f.fleet.next {
 		f.restoreMap(s)
 	}
+	f.conf.begun, f.fleet.begun = true, true
 	return nil
 }
 
 func (f *Follower) restoreMap(s State) {
-	f.fleet.next, f.fleet.begun = s.FleetNext, true
+	f.fleet.next = s.FleetNext
 	f.fleet.tail.reset()
 	f.lost = false
 	old := f.chain.Current()
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -52,7 +52,7 @@
 	// accepted are the connections that peers opened.
 	accepted map[net.Conn]struct{}
 	closed   bool
-	traffic  traffic
+	traffic  Traffic
 }
 
 // peer is the state of the sessions to one address.
@@ -201,7 +201,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c = m.traffic.count(c)
+	c = m.traffic.Count(c)
 	if m.ClientTLS != nil {
 		c = tls.Client(c, m.ClientTLS)
 	}
--- a/internal/messenger/traffic.go
+++ b/internal/messenger/traffic.go
@@ -5,17 +5,21 @@
 	"sync/atomic"
 )
 
-// traffic counts the bytes of all sessions.
-type traffic struct {
+// Traffic counts the bytes of connections. The zero value is ready.
+type Traffic struct {
 	in, out atomic.Int64
 }
 
 type countedConn struct {
 	net.Conn
-	t *traffic
+	t *Traffic
 }
 
-func (t *traffic) count(c net.Conn) net.Conn { return countedConn{c, t} }
+// Count returns a connection whose bytes are counted.
+func (t *Traffic) Count(c net.Conn) net.Conn { return countedConn{c, t} }
+
+// Bytes returns the bytes received and sent so far.
+func (t *Traffic) Bytes() (in, out int64) { return t.in.Load(), t.out.Load() }
 
 func (c countedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
@@ -30,4 +34,4 @@
 }
 
 // Traffic returns the bytes received from and sent to peers since the start.
-func (m *Messenger) Traffic() (in, out int64) { return m.traffic.in.Load(), m.traffic.out.Load() }
+func (m *Messenger) Traffic() (in, out int64) { return m.traffic.Bytes() }
--- a/internal/server/dump.go
+++ b/internal/server/dump.go
@@ -29,6 +29,7 @@
 	Accounts   map[string]accountStatus `json:"clientAccounts"`
 	Groups     []dispatcher.GroupStatus `json:"groups"`
 	Traffic    traffic                  `json:"peerTraffic"`
+	Platform   traffic                  `json:"platformTraffic"`
 	Violations map[string]int64         `json:"violations"`
 	Events     []operator.Event         `json:"events"`
 }
@@ -61,6 +62,9 @@
 		Groups: s.dispatcher.Status(), Traffic: traffic{in, out}, Violations: map[string]int64{},
 		Events: s.events.Latest(),
 	}
+	if t := s.platform.Traffic; t != nil {
+		d.Platform.Received, d.Platform.Sent = t.Bytes()
+	}
 	for _, f := range s.gossiper.Facts() {
 		d.Peers = append(d.Peers, peerStatus{f.VM.Address, f.VM.Domain, f.Kind.String()})
 	}
--- a/internal/server/heartbeat.go
+++ b/internal/server/heartbeat.go
@@ -177,12 +177,15 @@
 	}
 	h := rep.GetHeartbeat()
 	s.learn(now, h)
-	if s.behind(h) {
+	if s.behind(h) || !s.follower.Ready() {
 		s.catchUp(ctx, to, h)
 	}
+	if s.behind(h) || !s.follower.Ready() {
+		return
+	}
 	s.witness.Peer(to, sent, h.GetReadsLog())
 	age := time.Duration(h.GetContactAgeMs()) * time.Millisecond
-	if age > 0 && age < contactBound && !s.behind(h) {
+	if age > 0 && age < contactBound {
 		s.witness.Relay(sent.Add(-age))
 	}
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"context"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -35,6 +36,8 @@
 type Platform struct {
 	Log    follower.Log
 	Lister watcher.Lister
+	// Traffic counts the bytes to and from the platform; it may be nil.
+	Traffic *messenger.Traffic
 }
 
 // HTTPPlatform returns the platform's services as the settings name them.
@@ -47,11 +50,19 @@
 	if err != nil {
 		return Platform{}, errors.Wrap(err, "platform.machines")
 	}
+	d := &net.Dialer{Timeout: time.Second, KeepAlive: 5 * time.Second}
+	t := &messenger.Traffic{}
 	c := &http.Client{Transport: &http.Transport{
 		MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, ResponseHeaderTimeout: 5 * time.Second,
-		DialContext: (&net.Dialer{Timeout: time.Second, KeepAlive: 5 * time.Second}).DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := d.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return t.Count(conn), nil
+		},
 	}}
-	return Platform{follower.NewHTTPLog(log, c), watcher.NewHTTPLister(machines, c)}, nil
+	return Platform{follower.NewHTTPLog(log, c), watcher.NewHTTPLister(machines, c), t}, nil
 }
 
 // Server is one daemon.
