--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -346,6 +346,24 @@
 	}
 }
 
+// TestHTTP2 sends requests over one unencrypted HTTP/2 connection.
+func TestHTTP2(t *testing.T) {
+	c := newCluster(t, 1)
+	tr := &http.Transport{Protocols: new(http.Protocols)}
+	tr.Protocols.SetUnencryptedHTTP2(true)
+	defer tr.CloseIdleConnections()
+	for range 3 {
+		req, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/t/get/x", c.address(0, 8080)), nil)
+		require.NoError(t, err)
+		req.Header.Set(caller.HeaderKey, c.key)
+		rep, err := tr.RoundTrip(req)
+		require.NoError(t, err)
+		require.Equal(t, 2, rep.ProtoMajor)
+		require.Equal(t, "answered", rep.Header.Get(caller.HeaderOutcome))
+		require.NoError(t, rep.Body.Close())
+	}
+}
+
 func TestWithdrawnKeyOnAKeptConnection(t *testing.T) {
 	c := newCluster(t, 3)
 	require.True(t, c.answered(0))
--- a/pkg/recorder/recorder.go
+++ b/pkg/recorder/recorder.go
@@ -14,25 +14,6 @@
 
 //go:generate go tool enumer -type=Verdict -trimprefix=Verdict -transform=title-lower -text
 
-// Verdict is a holder's answer to the begin of an attempt.
-type Verdict int
-
-// The verdicts of a holder.
-const (
-	// VerdictNew means that the attempt is recorded and no other is known.
-	VerdictNew Verdict = iota
-	// VerdictRunning means that another attempt began and has not ended, or its end was lost.
-	VerdictRunning
-	// VerdictDone means that another attempt ended; its result is given.
-	VerdictDone
-	// VerdictMismatch means that the key was used for a different request.
-	VerdictMismatch
-	// VerdictUnsure means that the attempt says it is a retry and the records do not reach back to the first.
-	VerdictUnsure
-	// VerdictBusy means that the holder cannot record now: it lacks the records or the room.
-	VerdictBusy
-)
-
 const (
 	// Life is how long a record is kept after its attempt began.
 	Life = 15 * time.Minute
@@ -51,37 +32,6 @@
 // ErrNotYet is returned for a copy that needs a newer map than the holder has read.
 var ErrNotYet = errors.New("the holder has not read that fleet map yet")
 
-// Attempt names one attempt to run a request with an idempotency key.
-type Attempt struct {
-	Account string
-	Key     string
-	// ID is unique to the attempt.
-	ID string
-	// Fingerprint identifies the request's content.
-	Fingerprint uint64
-	// Retry says that the caller sent the request before.
-	Retry bool
-}
-
-// Result is how an attempt ended.
-type Result struct {
-	// Known says that the whole answer is kept.
-	Known  bool
-	Status int
-	Header map[string][]string
-	Body   []byte
-}
-
-// Record is what a holder keeps of an attempt.
-type Record struct {
-	Attempt
-	Began time.Time
-	Ended bool
-	Result
-}
-
-func (r *Record) size() int { return recordBytes + len(r.Key) + len(r.Body) }
-
 type name struct{ account, key string }
 
 // Partition returns the index that places an account's key.
@@ -232,89 +182,6 @@
 	}
 }
 
-// Need is a partition whose records are to be copied from some VMs.
-type Need struct {
-	Partition int
-	From      []placer.VM
-}
-
-// Needs returns the partitions whose records have to be copied.
-func (r *Recorder) Needs() []Need {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var ns []Need
-	for p, s := range r.shelves {
-		if s.missing > 0 {
-			ns = append(ns, Need{Partition: p, From: slices.Clone(s.waiting)})
-		}
-	}
-	return ns
-}
-
-// Copy is the content of a partition at an earlier holder.
-type Copy struct {
-	// Reach is how far back the records are complete.
-	Reach   time.Duration
-	Records []Record
-	// Ages are the times since the records' attempts began.
-	Ages []time.Duration
-}
-
-// Copy returns the records of a partition to a new holder under the map of the given
-// version. From then on this VM refuses attempts under older maps.
-func (r *Recorder) Copy(now time.Time, partition int, version uint64) (Copy, error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.version < version {
-		return Copy{}, ErrNotYet
-	}
-	s := r.shelves[partition]
-	if s == nil || s.missing > 0 || now.Before(s.ready) {
-		return Copy{}, ErrNotYet
-	}
-	r.expire(now, s)
-	c := Copy{Reach: now.Sub(s.since)}
-	for _, e := range s.records {
-		c.Records = append(c.Records, *e)
-		c.Ages = append(c.Ages, now.Sub(e.Began))
-	}
-	return c, nil
-}
-
-// Receive takes the copy of a partition from one of the earlier holders.
-func (r *Recorder) Receive(now time.Time, partition int, from placer.VM, c Copy) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	s := r.shelves[partition]
-	if s == nil || s.missing == 0 || !contains(s.waiting, from) {
-		return
-	}
-	s.waiting = slices.DeleteFunc(slices.Clone(s.waiting), from.Same)
-	if s.missing--; s.missing == 0 {
-		s.waiting = nil
-	}
-	if since := now.Add(-c.Reach); s.since.Equal(s.ready) || since.After(s.since) {
-		s.since = since
-	}
-	for i, e := range c.Records {
-		e.Began = now.Add(-c.Ages[i])
-		r.merge(s, &e)
-	}
-}
-
-// merge takes a copied record; one that says how its attempt ended counts more.
-func (r *Recorder) merge(s *shelf, e *Record) {
-	n := name{e.Account, e.Key}
-	if have, ok := s.records[n]; ok {
-		if have.Ended || !e.Ended {
-			return
-		}
-		r.remove(s, n)
-	}
-	s.records[n] = e
-	r.bytes += e.size()
-}
-
 // Begin records an attempt under the map of the given version. The attempt may run
 // only if a quorum of the holders answers VerdictNew.
 func (r *Recorder) Begin(now time.Time, a Attempt, version uint64) (Verdict, Result) {
