--- a/cmd/measure/result.go
+++ b/cmd/measure/result.go
@@ -65,12 +65,11 @@
 
 const maxLatency = 20 * time.Second
 
-func (r *result) init(d deployment) {
+func (r *result) init() {
 	r.ejectedBy = map[int]bool{}
 	for a := range r.accounts {
 		r.accounts[a].hist = hdrhistogram.New(1, maxLatency.Microseconds(), 3)
 	}
-	_ = d
 }
 
 func (r *result) send(s *sim, i int) {
--- a/cmd/measure/sim.go
+++ b/cmd/measure/sim.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -110,7 +109,7 @@
 	for range d.instances {
 		s.servers = append(s.servers, &server{})
 	}
-	s.result.init(d)
+	s.result.init()
 	s.router = p.router(s)
 	s.admitter = p.admitter(s)
 	for a := range accounts {
@@ -274,5 +273,3 @@
 	}
 	return linkDelay
 }
-
-func (s *sim) String() string { return fmt.Sprintf("%s %s", s.scenario.name, s.policy.name) }
--- a/pkg/detector/detector.go
+++ b/pkg/detector/detector.go
@@ -56,7 +56,7 @@
 	// EjectedAt is when it was last ejected.
 	EjectedAt time.Time `json:"ejectedAt,omitzero"`
 	// HoldOff is the time from the last ejection until a trial.
-	HoldOff time.Duration `json:"holdOff"`
+	HoldOff time.Duration `json:"holdOffNs"`
 	// Ejections counts them since the start.
 	Ejections int `json:"ejections"`
 	leaving   bool
@@ -70,10 +70,11 @@
 
 // Event is a change of an instance's state.
 type Event struct {
-	Instance string
-	From, To State
-	Evidence float64
-	At       time.Time
+	Instance string    `json:"instance"`
+	From     State     `json:"from"`
+	To       State     `json:"to"`
+	Evidence float64   `json:"evidence"`
+	At       time.Time `json:"at"`
 }
 
 // Detector judges the instances of one group. It is not safe for concurrent use.
--- a/pkg/placer/vm.go
+++ b/pkg/placer/vm.go
@@ -1,7 +1,6 @@
 package placer
 
 import (
-	"cmp"
 	"net/netip"
 	"time"
 )
@@ -27,6 +26,4 @@
 func Compare(a, b VM) int { return a.Address.Compare(b.Address) }
 
 // Same reports whether both name the same run of a daemon.
-func (v VM) Same(o VM) bool {
-	return cmp.Compare(v.Incarnation, o.Incarnation) == 0 && v.Address == o.Address
-}
+func (v VM) Same(o VM) bool { return v.Incarnation == o.Incarnation && v.Address == o.Address }
