Count server errors as failures, and trust bad health checks no further than good ones

Cause: an answer with a status of 500 or more was taken for a good one, so an instance that failed fast was never judged, and its errors went to callers of idempotent requests (TestServerErrorsAreEvidence failed: 500 in place of 200). And a health check that lies, or lags, ejected an instance alone after six probes (TestMisleadingHealthEjectsNone).

Change: server errors are evidence; an idempotent request is tried elsewhere within the budget, and gets the backend server's own answer if there is no better one; others get it at once. A bad health check brings at most half the evidence that ejects; a probe without any answer counts as a failure.

Ruled out: ignoring bad health checks, which would leave an idle dead server unsuspected.

--- a/internal/dispatcher/backend.go
+++ b/internal/dispatcher/backend.go
@@ -24,6 +24,8 @@
 	errStarting   = errors.New("the backend server starts")
 	errCrossed    = errors.New("the answer belongs to another request")
 	errUnframed   = errors.New("the answer has no length, so it cannot be known to be whole")
+	errServer     = errors.New("the backend server answers with a server error")
+	errUnwell     = errors.New("the health check answers that the backend server is not well")
 	errSilent     = errors.New("a connection that had idled went silent")
 )
 
@@ -221,7 +223,7 @@
 		return true, nil
 	}
 	if err == nil && rep.StatusCode >= http.StatusInternalServerError {
-		err = errors.Newf("health answers %s", rep.Status)
+		err = errors.Wrap(errUnwell, rep.Status)
 	}
 	return false, err
 }
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -358,6 +358,32 @@
 	require.NotEqual(t, detector.StateLive, f.d.Status()[0].Instances[0].State)
 }
 
+// TestServerErrorsAreEvidence lets one instance answer quickly with a server error.
+func TestServerErrorsAreEvidence(t *testing.T) {
+	fails := func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusInternalServerError)
+		_, _ = io.WriteString(w, "its own words")
+	}
+	f := newFixture(t, fails, well, well, well)
+	for range 100 {
+		a := f.run(request(true))
+		require.Equal(t, http.StatusOK, a.Status, "an idempotent request is tried elsewhere")
+	}
+	require.NotEqual(t, detector.StateLive, f.d.Status()[0].Instances[0].State)
+
+	f = newFixture(t, fails)
+	for _, idempotent := range []bool{true, false} {
+		r := request(idempotent)
+		a := f.run(r)
+		require.Equal(t, dispatcher.OutcomeAnswered, a.Outcome, "the backend server's answer, if there is no better")
+		require.Equal(t, http.StatusInternalServerError, a.Status)
+		require.Equal(t, "its own words", string(a.Body))
+		if !idempotent {
+			require.Equal(t, 1, f.runs(r.ID))
+		}
+	}
+}
+
 func TestDeadlineTravels(t *testing.T) {
 	got := make(chan string, 1)
 	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
--- a/internal/dispatcher/judge.go
+++ b/internal/dispatcher/judge.go
@@ -106,6 +106,13 @@
 	}
 }
 
+func probeOutcome(err error) detector.Outcome {
+	if errors.Is(err, errUnwell) {
+		return detector.OutcomeProbeFailed
+	}
+	return detector.OutcomeUnreachable
+}
+
 func (g *group) probe(ctx context.Context, i int, m *member, path string) {
 	draining, err := m.backend.probe(ctx, path)
 	if ctx.Err() != nil {
@@ -116,7 +123,7 @@
 	now := g.clock.Now()
 	m.probing = false
 	if err != nil {
-		g.detector.Observe(now, i, "", detector.OutcomeProbeFailed, 0)
+		g.detector.Observe(now, i, "", probeOutcome(err), 0)
 		return
 	}
 	if m.drains != draining {
--- a/internal/dispatcher/run.go
+++ b/internal/dispatcher/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"sync"
 	"time"
 
@@ -37,7 +38,8 @@
 	avoid    int
 	// begun counts the tries that a backend server may have started.
 	begun int
-	last  error
+	// kept is the last answer with a server error, given if no try has a better one.
+	kept *Answer
 }
 
 func (r *run) do(ctx context.Context) Answer {
@@ -46,8 +48,14 @@
 		if err == nil {
 			return a
 		}
-		r.last = err
-		if !r.again(ctx, err, shift) {
+		if errors.Is(err, errServer) {
+			r.kept = &a
+		}
+		switch {
+		case r.again(ctx, err, shift):
+		case r.kept != nil:
+			return *r.kept
+		default:
 			return r.refuse(ctx, err)
 		}
 	}
@@ -120,7 +128,7 @@
 	if after := r.group.hedgeAfter(i, r.request.Route); after > 0 {
 		hedge = r.group.clock.After(after)
 	}
-	var failed error
+	var last tried
 	for open > 0 {
 		select {
 		case t := <-ends:
@@ -128,7 +136,7 @@
 			if t.err == nil {
 				return settle(t.answer, cancel, ends, open), nil
 			}
-			failed = worse(failed, t.err)
+			last = worse(last, t)
 		case <-hedge:
 			hedge = nil
 			if j, ok := r.second(i); ok {
@@ -138,7 +146,7 @@
 		}
 	}
 	cancel()
-	return Answer{}, failed
+	return last.answer, last.err
 }
 
 // second takes a slot and the budget for a second try.
@@ -149,9 +157,10 @@
 	return r.group.choose(r.request, i)
 }
 
-// worse returns the error that says less about the request not having started.
-func worse(a, b error) error {
-	if a == nil || errors.Is(a, errNotStarted) {
+// worse returns the try whose error says less about the request not having started; an
+// answer with a server error says more than none.
+func worse(a, b tried) tried {
+	if a.err == nil || errors.Is(a.err, errNotStarted) || errors.Is(b.err, errServer) {
 		return b
 	}
 	return a
@@ -205,8 +214,14 @@
 	if err == nil && a.Header.Get(HeaderState) == stateDraining {
 		g.drain(i)
 	}
-	g.finish(running, err, err != nil && canceled)
+	if err == nil && a.Status >= http.StatusInternalServerError {
+		err = errServer
+	}
+	g.finish(running, err, canceled && err != nil && !errors.Is(err, errServer))
 	cancel()
+	if errors.Is(err, errServer) && !r.request.Idempotent {
+		err = nil
+	}
 	return tried{answer: a, err: err}
 }
 
--- a/pkg/detector/detector.go
+++ b/pkg/detector/detector.go
@@ -28,6 +28,8 @@
 	// Threshold is the evidence at which an instance is ejected. The chance that a well
 	// instance reaches it is at most e^-Threshold for each time its evidence leaves zero.
 	Threshold = 20.0
+	// suspicion is the most evidence that health probes alone bring.
+	suspicion = Threshold / 2
 	// trialClear and trialBlame end a trial: for the evidence to be readmitted, or ejected again.
 	trialClear = -6.0
 	trialBlame = 4.0
@@ -155,6 +157,9 @@
 		d.tryOut(now, e, r)
 		return
 	}
+	if o == OutcomeProbeFailed {
+		r.Failure = max(0, min(r.Failure, suspicion-e.Sums.Failure))
+	}
 	e.Sums = Ratios{max(0, e.Sums.Failure+r.Failure), max(0, e.Sums.Latency+r.Latency)}
 	e.Evidence = e.Sums.largest()
 	d.eject(now, i)
@@ -166,7 +171,7 @@
 	switch o {
 	case OutcomeShed, OutcomeProbeAnswered:
 		return Ratios{}
-	case OutcomeProbeFailed:
+	case OutcomeProbeFailed, OutcomeUnreachable:
 		return Ratios{Failure: failureRatio(true, common)}
 	case OutcomeFailed:
 		e.Failures += decay * (1 - e.Failures)
--- a/pkg/detector/detector_test.go
+++ b/pkg/detector/detector_test.go
@@ -193,6 +193,28 @@
 	require.InDelta(t, before, d.Instances()[1].Evidence, 0, "a good probe clears nothing")
 }
 
+// TestMisleadingHealthEjectsNone checks that health checks alone raise suspicion and no more,
+// and that a server that cannot even be reached is ejected.
+func TestMisleadingHealthEjectsNone(t *testing.T) {
+	d := newDetector(t, 0.5, nil)
+	now := time.Unix(100, 0)
+	for range 1000 {
+		d.Observe(now, 0, "", detector.OutcomeProbeFailed, 0)
+	}
+	require.Equal(t, detector.StateLive, d.State(0))
+	for range 3 {
+		d.Observe(now, 0, "/", detector.OutcomeFailed, 0)
+		d.Observe(now, 1, "/", detector.OutcomeFailed, 0)
+	}
+	require.Equal(t, detector.StateEjected, d.State(0), "sooner than without the suspicion")
+	require.Equal(t, detector.StateLive, d.State(1))
+	d = newDetector(t, 0.5, nil)
+	for range 6 {
+		d.Observe(now, 2, "", detector.OutcomeUnreachable, 0)
+	}
+	require.Equal(t, detector.StateEjected, d.State(2))
+}
+
 // TestReadmission checks that an instance comes back when it is well, and that the hold-off
 // of one that flaps doubles.
 func TestReadmission(t *testing.T) {
--- a/pkg/detector/evidence.go
+++ b/pkg/detector/evidence.go
@@ -22,8 +22,10 @@
 	OutcomeOverdue
 	// OutcomeShed is a refusal by an instance that protects itself; it is no evidence.
 	OutcomeShed
-	// OutcomeProbeFailed is a failed health probe.
+	// OutcomeProbeFailed is a bad health probe; it raises suspicion, but ejects nobody alone.
 	OutcomeProbeFailed
+	// OutcomeUnreachable is a probe that got no answer at all.
+	OutcomeUnreachable
 	// OutcomeProbeAnswered is a good health probe; it proves nothing, since health checks mislead.
 	OutcomeProbeAnswered
 )
--- a/pkg/detector/outcome_enumer.go
+++ b/pkg/detector/outcome_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _OutcomeName = "answeredfailedoverdueshedprobeFailedprobeAnswered"
+const _OutcomeName = "answeredfailedoverdueshedprobeFailedunreachableprobeAnswered"
 
-var _OutcomeIndex = [...]uint8{0, 8, 14, 21, 25, 36, 49}
+var _OutcomeIndex = [...]uint8{0, 8, 14, 21, 25, 36, 47, 60}
 
-const _OutcomeLowerName = "answeredfailedoverdueshedprobefailedprobeanswered"
+const _OutcomeLowerName = "answeredfailedoverdueshedprobefailedunreachableprobeanswered"
 
 func (i Outcome) String() string {
 	if i < 0 || i >= Outcome(len(_OutcomeIndex)-1) {
@@ -29,10 +29,11 @@
 	_ = x[OutcomeOverdue-(2)]
 	_ = x[OutcomeShed-(3)]
 	_ = x[OutcomeProbeFailed-(4)]
-	_ = x[OutcomeProbeAnswered-(5)]
+	_ = x[OutcomeUnreachable-(5)]
+	_ = x[OutcomeProbeAnswered-(6)]
 }
 
-var _OutcomeValues = []Outcome{OutcomeAnswered, OutcomeFailed, OutcomeOverdue, OutcomeShed, OutcomeProbeFailed, OutcomeProbeAnswered}
+var _OutcomeValues = []Outcome{OutcomeAnswered, OutcomeFailed, OutcomeOverdue, OutcomeShed, OutcomeProbeFailed, OutcomeUnreachable, OutcomeProbeAnswered}
 
 var _OutcomeNameToValueMap = map[string]Outcome{
 	_OutcomeName[0:8]:   OutcomeAnswered,
@@ -40,7 +41,8 @@
 	_OutcomeName[14:21]: OutcomeOverdue,
 	_OutcomeName[21:25]: OutcomeShed,
 	_OutcomeName[25:36]: OutcomeProbeFailed,
-	_OutcomeName[36:49]: OutcomeProbeAnswered,
+	_OutcomeName[36:47]: OutcomeUnreachable,
+	_OutcomeName[47:60]: OutcomeProbeAnswered,
 }
 
 var _OutcomeLowerNameToValueMap = map[string]Outcome{
@@ -49,7 +51,8 @@
 	_OutcomeLowerName[14:21]: OutcomeOverdue,
 	_OutcomeLowerName[21:25]: OutcomeShed,
 	_OutcomeLowerName[25:36]: OutcomeProbeFailed,
-	_OutcomeLowerName[36:49]: OutcomeProbeAnswered,
+	_OutcomeLowerName[36:47]: OutcomeUnreachable,
+	_OutcomeLowerName[47:60]: OutcomeProbeAnswered,
 }
 
 var _OutcomeNames = []string{
@@ -58,7 +61,8 @@
 	_OutcomeName[14:21],
 	_OutcomeName[21:25],
 	_OutcomeName[25:36],
-	_OutcomeName[36:49],
+	_OutcomeName[36:47],
+	_OutcomeName[47:60],
 }
 
 // OutcomeString retrieves an enum value from the enum constants string name.
