--- a/cmd/measure/judge.go
+++ b/cmd/measure/judge.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/jacinthproxy/jacinthproxy/internal/dispatcher"
 	"github.com/jacinthproxy/jacinthproxy/pkg/detector"
 	"github.com/jacinthproxy/jacinthproxy/pkg/scheduler"
 )
@@ -60,14 +61,7 @@
 
 func (c *cusum) eligible(i int) scheduler.Eligibility {
 	c.d.Tick(c.s.time())
-	switch c.d.State(i) {
-	case detector.StateLive:
-		return scheduler.EligibilityAll
-	case detector.StateTrial:
-		return scheduler.EligibilityTrial
-	case detector.StateEjected, detector.StateLeaving:
-	}
-	return scheduler.EligibilityNone
+	return dispatcher.Eligibility(c.d.State(i))
 }
 
 // baseline keeps what the simpler policies need of each instance.
--- a/internal/dispatcher/group.go
+++ b/internal/dispatcher/group.go
@@ -99,8 +99,11 @@
 	g.record(e)
 }
 
-func (g *group) eligible(i int) scheduler.Eligibility {
-	switch g.detector.State(i) {
+func (g *group) eligible(i int) scheduler.Eligibility { return Eligibility(g.detector.State(i)) }
+
+// Eligibility returns which requests an instance in a state of the detector may get.
+func Eligibility(s detector.State) scheduler.Eligibility {
+	switch s {
 	case detector.StateLive:
 		return scheduler.EligibilityAll
 	case detector.StateTrial:
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -5,8 +5,10 @@
 	"context"
 	"crypto/tls"
 	"io"
+	"maps"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -83,13 +85,8 @@
 // Open sends a request and returns the reply with its stream, from which the caller
 // reads what follows; the caller ends it with Done or Close.
 func (m *Messenger) Open(ctx context.Context, to netip.AddrPort, req *wire.Request) (*wire.Reply, *Stream, error) {
-	ses, err := m.session(ctx, to)
+	s, err := m.stream(ctx, to)
 	if err != nil {
-		return nil, nil, errors.Mark(err, ErrUnreachable)
-	}
-	s, err := ses.open()
-	if err != nil {
-		m.drop(to, ses)
 		return nil, nil, err
 	}
 	rep, err := s.call(ctx, req)
@@ -102,6 +99,38 @@
 	return rep, s, nil
 }
 
+// stream takes a stream of the session to a peer, of a new one if the old was just retired.
+func (m *Messenger) stream(ctx context.Context, to netip.AddrPort) (*Stream, error) {
+	for {
+		ses, err := m.session(ctx, to)
+		if err != nil {
+			return nil, errors.Mark(err, ErrUnreachable)
+		}
+		s, err := ses.open()
+		if err == nil {
+			return s, nil
+		}
+		m.drop(to, ses)
+		if !errors.Is(err, errRetired) {
+			return nil, err
+		}
+	}
+}
+
+// Retire closes the sessions that no call has used for a time; the next call opens a new one.
+func (m *Messenger) Retire(idle time.Duration) {
+	m.mu.Lock()
+	ps := slices.Collect(maps.Values(m.peers))
+	m.mu.Unlock()
+	for _, p := range ps {
+		p.mu.Lock()
+		if p.session != nil {
+			p.session.retire(idle)
+		}
+		p.mu.Unlock()
+	}
+}
+
 // Reset closes the session to a peer whose connection went silent, so that the next call opens a new one.
 func (m *Messenger) Reset(to netip.AddrPort) {
 	p := m.peer(to)
@@ -216,7 +245,7 @@
 		_ = c.Close()
 		return nil, err
 	}
-	return &session{mux: mux}, nil
+	return &session{mux: mux, clock: m.Clock, usedAt: m.Clock.Now()}, nil
 }
 
 // greet exchanges the Hello before the connection becomes a session.
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
@@ -164,6 +165,31 @@
 	}, 10*time.Second, time.Millisecond)
 }
 
+// TestIdleSessionsAreRetired closes sessions between calls and under them.
+func TestIdleSessionsAreRetired(t *testing.T) {
+	a, b := start(t, nil), start(t, nil)
+	_, err := a.Call(t.Context(), b.address, beat())
+	require.NoError(t, err)
+	a.Retire(time.Hour)
+	require.Len(t, a.Sessions(), 1)
+	a.Retire(0)
+	require.Empty(t, a.Sessions())
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Go(func() {
+			for range 200 {
+				if _, err := a.Call(t.Context(), b.address, beat()); err != nil {
+					t.Error(err)
+				}
+			}
+		})
+	}
+	for range 200 {
+		a.Retire(0)
+	}
+	wg.Wait()
+}
+
 // TestSilentPeerIsGivenUp lets a session's bytes vanish while its connection stays open.
 func TestSilentPeerIsGivenUp(t *testing.T) {
 	b := start(t, nil)
--- a/internal/messenger/session.go
+++ b/internal/messenger/session.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/yamux"
+	"github.com/jonboulle/clockwork"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/jacinthproxy/jacinthproxy/internal/messenger/wire"
@@ -29,6 +30,11 @@
 	mux  *yamux.Session
 	mu   sync.Mutex
 	idle []*Stream
+	// calls counts the streams in use, and usedAt is when one was last taken or given back.
+	calls  int
+	usedAt time.Time
+	closed bool
+	clock  clockwork.Clock
 	// checking says that a ping is on its way.
 	checking atomic.Bool
 }
@@ -67,26 +73,57 @@
 	conn    net.Conn
 	r       *bufio.Reader
 	session *session
+	// ended says that the call is over.
+	ended atomic.Bool
 }
 
+// errRetired is returned by open for a session that was closed because it idled.
+var errRetired = errors.New("the session idled and was closed")
+
 func (s *session) open() (*Stream, error) {
 	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return nil, errors.Mark(errRetired, ErrUnreachable)
+	}
+	s.calls++
+	s.usedAt = s.clock.Now()
 	if n := len(s.idle); n > 0 {
 		st := s.idle[n-1]
 		s.idle = s.idle[:n-1]
 		s.mu.Unlock()
+		st.ended.Store(false)
 		return st, nil
 	}
 	s.mu.Unlock()
 	c, err := s.mux.Open()
 	if err != nil {
+		s.release()
 		return nil, errors.Mark(errors.Wrap(err, "stream"), ErrUnreachable)
 	}
 	return &Stream{conn: c, r: bufio.NewReader(c), session: s}, nil
 }
 
+func (s *session) release() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls--
+	s.usedAt = s.clock.Now()
+}
+
+// retire closes the session if no call has used it for a time.
+func (s *session) retire(idle time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.calls == 0 && s.clock.Since(s.usedAt) > idle {
+		s.closed = true
+		_ = s.mux.Close()
+	}
+}
+
 // Done keeps the stream for a later call; all of the reply must have been read.
 func (s *Stream) Done() {
+	s.end()
 	s.session.mu.Lock()
 	keep := len(s.session.idle) < maxIdle && !s.session.mux.IsClosed()
 	if keep {
@@ -94,12 +131,22 @@
 	}
 	s.session.mu.Unlock()
 	if !keep {
-		s.Close()
+		_ = s.conn.Close()
+	}
+}
+
+// end counts the call as over, once.
+func (s *Stream) end() {
+	if !s.ended.Swap(true) {
+		s.session.release()
 	}
 }
 
 // Close ends the stream; a call that runs on it is canceled at the peer.
-func (s *Stream) Close() { _ = s.conn.Close() }
+func (s *Stream) Close() {
+	s.end()
+	_ = s.conn.Close()
+}
 
 // Read receives the next message of a reply.
 func (s *Stream) Read(m proto.Message) error {
--- a/internal/server/constants.go
+++ b/internal/server/constants.go
@@ -38,6 +38,8 @@
 	stopGrace = 2 * time.Second
 	// releaseTimeout bounds the wait for other VMs to take over what a stopping VM owns.
 	releaseTimeout = 8 * time.Second
+	// sessionIdle is how long a session to another daemon is kept without a call.
+	sessionIdle = time.Minute
 	// sweepPeriod is how often unused state is forgotten, and collectorIdle when a collector is.
 	sweepPeriod   = 30 * time.Second
 	collectorIdle = 5 * time.Minute
--- a/internal/server/fleet.go
+++ b/internal/server/fleet.go
@@ -97,6 +97,7 @@
 	}
 	s.gossiper.Forget(now, known)
 	s.messenger.Forget(known)
+	s.messenger.Retire(sessionIdle)
 }
 
 func (s *Server) evidence() mapper.Evidence {
