Pass on a recorded answer without changing it

Ruled out: copying wherever a result is kept or given, as was done at one place before; the one place that changes headers now changes its own copy. TestRecordedAnswerIsNotChanged failed first.

--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -78,9 +78,11 @@
 // pass writes a backend server's answer. Headers of the connection to it stay behind.
 func (x *exchange) pass(a dispatcher.Answer) error {
 	length := a.Header.Get("Content-Length")
-	clean(a.Header)
+	// The answer may be one that a holder of its idempotency key keeps.
+	headers := a.Header.Clone()
+	clean(headers)
 	w := x.echo.Response()
-	for n, vs := range a.Header {
+	for n, vs := range headers {
 		if w.Header().Get(n) == "" {
 			w.Header()[n] = vs
 		}
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -189,6 +189,15 @@
 	require.Zero(t, f.sent.Load())
 }
 
+// TestRecordedAnswerIsNotChanged passes on an answer that a holder keeps for later attempts.
+func TestRecordedAnswerIsNotChanged(t *testing.T) {
+	f := newFixture(t)
+	kept := http.Header{"Connection": {"X-Hop"}, "X-Hop": {"1"}}
+	f.verdict, f.result = recorder.VerdictDone, recorder.Result{Known: true, Status: 200, Header: kept}
+	f.do(t, http.MethodPost, "/t/x", "", caller.HeaderIdempotencyKey, "k")
+	require.Equal(t, http.Header{"Connection": {"X-Hop"}, "X-Hop": {"1"}}, kept)
+}
+
 func TestSlowBodyIsRefused(t *testing.T) {
 	f := newFixture(t)
 	c, err := net.Dial("tcp", f.Listener.Addr().String())
--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -246,7 +246,7 @@
 	if a.Outcome != dispatcher.OutcomeAnswered || a.Rest != nil {
 		return recorder.Result{}
 	}
-	return recorder.Result{Known: true, Status: a.Status, Header: a.Header.Clone(), Body: a.Body}
+	return recorder.Result{Known: true, Status: a.Status, Header: a.Header, Body: a.Body}
 }
 
 // earlier returns the answer to an attempt that is not the first, or that could not be recorded.
