Let the test fleets finish taking over before they are used

Cause: TestRetryThroughAnotherVM failed once in ten runs on a busy machine: its first request came while new holders of the third map still copied records, and was refused not-run, as it must be then. The test now waits until no partition waits in any VM, which it demands in place of a pause; its checks stay as they were. Ruled out: taking a refusal for good.

--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -27,6 +27,7 @@
 	"github.com/jacinthproxy/jacinthproxy/internal/publisher"
 	"github.com/jacinthproxy/jacinthproxy/internal/watcher"
 	"github.com/jacinthproxy/jacinthproxy/pkg/asserter"
+	"github.com/jacinthproxy/jacinthproxy/pkg/limiter"
 	"github.com/jacinthproxy/jacinthproxy/pkg/merger"
 	"github.com/jacinthproxy/jacinthproxy/pkg/witness"
 )
@@ -149,8 +150,9 @@
 	c.publish(fmt.Sprintf(testDocument, merger.HashKey(c.key), c.backend.Listener.Addr()), 0)
 	for _, d := range c.daemons {
 		c.eventually(func() bool {
-			return d.InContact() && len(d.follower.Map().Members()) == n && len(d.follower.Index().Versions) == 1
-		}, "the fleet forms")
+			return d.InContact() && len(d.follower.Map().Members()) == n && len(d.follower.Index().Versions) == 1 &&
+				d.recorder.Status().Waiting == 0 && d.owner.Status().Partitions[limiter.StateWaiting] == 0
+		}, "the fleet forms, and each VM has taken over what it owns")
 	}
 	return c
 }
