--- a/Makefile
+++ b/Makefile
@@ -1,3 +1,5 @@
+ROUNDS ?= 8
+SEED ?= 1
 LINT := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 
 all: build
