--- /dev/null
+++ b/internal/server/cluster_test.go
@@ -0,0 +1,311 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/jacinthproxy/jacinthproxy/internal/caller"
+	"github.com/jacinthproxy/jacinthproxy/internal/follower"
+	"github.com/jacinthproxy/jacinthproxy/internal/publisher"
+	"github.com/jacinthproxy/jacinthproxy/internal/watcher"
+	"github.com/jacinthproxy/jacinthproxy/pkg/asserter"
+	"github.com/jacinthproxy/jacinthproxy/pkg/limiter"
+	"github.com/jacinthproxy/jacinthproxy/pkg/merger"
+)
+
+// patience is far beyond what any step of a test takes.
+const patience = 60 * time.Second
+
+// platform is the log and the VM list in memory.
+type platform struct {
+	mu       sync.Mutex
+	streams  map[string][][]byte
+	machines []watcher.Machine
+	tag      int
+	away     bool
+}
+
+var errAway = errors.New("the platform is away")
+
+// view is what one VM sees of the platform.
+type view struct {
+	*platform
+	cut *atomic.Bool
+}
+
+func (v view) reach() error {
+	if v.away || v.cut.Load() {
+		return errAway
+	}
+	return nil
+}
+
+func (v view) Append(_ context.Context, stream string, data []byte) (uint64, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if err := v.reach(); err != nil {
+		return 0, err
+	}
+	v.streams[stream] = append(v.streams[stream], data)
+	return uint64(len(v.streams[stream]) - 1), nil
+}
+
+func (v view) Read(ctx context.Context, stream string, from uint64, wait time.Duration) (follower.Batch, error) {
+	end := time.Now().Add(wait)
+	for {
+		v.mu.Lock()
+		err := v.reach()
+		b := follower.Batch{Next: uint64(len(v.streams[stream]))}
+		for o := from; o < b.Next; o++ {
+			b.Entries = append(b.Entries, follower.Entry{Offset: o, Data: v.streams[stream][o]})
+		}
+		v.mu.Unlock()
+		if err != nil || len(b.Entries) > 0 || time.Now().After(end) {
+			return b, err
+		}
+		select {
+		case <-ctx.Done():
+			return b, ctx.Err()
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
+func (v view) List(context.Context, string) ([]watcher.Machine, string, bool, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.machines, fmt.Sprint(v.tag), false, v.reach()
+}
+
+// daemon is one server of a test fleet.
+type daemon struct {
+	*Server
+	stop context.CancelFunc
+	kill context.CancelFunc
+	done chan error
+	// log and links say that the VM is cut off from the platform, or from its peers.
+	log   *atomic.Bool
+	links *atomic.Bool
+}
+
+type cluster struct {
+	t        *testing.T
+	platform *platform
+	daemons  []*daemon
+	backend  *httptest.Server
+	runs     sync.Map
+	links    sync.Map
+	work     atomic.Int64
+	seen     bytes.Buffer
+	logs     bytes.Buffer
+	mu       sync.Mutex
+	key      string
+	prefix   string
+}
+
+// clusters gives each test addresses of its own.
+var clusters atomic.Int64
+
+const testDocument = `{
+  "clientAccounts": {"a": {"rate": 10000, "burst": 10000, "keys": {"k": %q}}},
+  "services": {"s": {"slots": 64, "instances": [{"address": %q, "failureDomain": "a"}]}},
+  "routes": [
+    {"path": "/get/", "service": "s", "timeout": "20s", "idempotent": true},
+    {"path": "/post/", "service": "s", "timeout": "20s"},
+    {"path": "/open/", "service": "s", "timeout": "20s", "idempotent": true, "open": true},
+  ],
+}`
+
+func newCluster(t *testing.T, n int) *cluster {
+	t.Helper()
+	t.Parallel()
+	c := &cluster{
+		t: t, platform: &platform{streams: map[string][][]byte{}}, key: "0123456789abcdef-the-key",
+		prefix: fmt.Sprintf("127.1.%d.", clusters.Add(1)),
+	}
+	c.backend = httptest.NewServer(http.HandlerFunc(c.serve))
+	t.Cleanup(c.backend.Close)
+	for i := range n {
+		c.start(i)
+	}
+	c.publish(fmt.Sprintf(testDocument, merger.HashKey(c.key), c.backend.Listener.Addr()), 0)
+	for _, d := range c.daemons {
+		c.eventually(func() bool {
+			return d.InContact() && len(d.follower.Map().Members()) == n && len(d.follower.Index().Versions) == 1 &&
+				d.recorder.Status().Waiting == 0 && d.owner.Status().Partitions[limiter.StateWaiting] == 0
+		}, "the fleet forms, and each VM has taken over what it owns")
+	}
+	return c
+}
+
+func (c *cluster) serve(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	c.mu.Lock()
+	fmt.Fprintln(&c.seen, r.RequestURI, r.Header, string(body))
+	c.mu.Unlock()
+	n, _ := c.runs.LoadOrStore(r.Header.Get("X-Job"), new(atomic.Int64))
+	n.(*atomic.Int64).Add(1)
+	<-time.After(time.Duration(c.work.Load()))
+	_, _ = io.WriteString(w, "job "+r.Header.Get("X-Job"))
+}
+
+// Write takes the daemons' logs.
+func (c *cluster) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.logs.Write(p)
+}
+
+func (c *cluster) address(i, port int) netip.AddrPort {
+	return netip.MustParseAddrPort(fmt.Sprintf("%s%d:%d", c.prefix, i+1, port))
+}
+
+func (c *cluster) start(i int) *daemon {
+	c.t.Helper()
+	s := DefaultSettings()
+	s.Fleet = FleetSettings{Name: "test", FailureDomains: []string{"a", "b", "c"}}
+	s.FailureDomain = s.Fleet.FailureDomains[i%3]
+	s.Callers.Listen, s.Peers.Listen, s.Operators.Listen = c.address(i, 8080), c.address(i, 7000), c.address(i, 7070)
+	core := zapcore.NewCore(zapcore.NewConsoleEncoder(zap.NewDevelopmentEncoderConfig()), zapcore.AddSync(c), zap.DebugLevel)
+	if i > 0 {
+		s.Peers.Seeds = []netip.AddrPort{c.address(0, 7000)}
+	}
+	d := &daemon{done: make(chan error, 1), log: &atomic.Bool{}, links: c.linksOf(c.address(i, 7000))}
+	v := view{c.platform, d.log}
+	var err error
+	d.Server, err = New(s, Platform{Log: v, Lister: v}, clockwork.NewRealClock(), zap.New(core), func(v asserter.Violation) { c.t.Error(v) })
+	require.NoError(c.t, err)
+	dial := d.messenger.Dial
+	d.messenger.Dial = func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+		if d.links.Load() || c.linksOf(to).Load() {
+			return nil, errAway
+		}
+		conn, err := dial(ctx, to)
+		return severed{conn, d.links, c.linksOf(to)}, err
+	}
+	run, stop := context.WithCancel(context.Background())
+	kill, cut := context.WithCancel(context.Background())
+	d.stop, d.kill = stop, cut
+	go func() { d.done <- d.Run(run, kill) }()
+	if i < len(c.daemons) {
+		c.daemons[i] = d
+	} else {
+		c.daemons = append(c.daemons, d)
+	}
+	c.list()
+	c.t.Cleanup(func() { d.end() })
+	return d
+}
+
+// end stops a daemon at once, if it still runs.
+func (d *daemon) end() {
+	d.kill()
+	d.stop()
+	if err, ok := <-d.done; ok {
+		_ = err
+		close(d.done)
+	}
+}
+
+// linksOf returns whether the VM at an address is cut off from its peers.
+func (c *cluster) linksOf(a netip.AddrPort) *atomic.Bool {
+	b, _ := c.links.LoadOrStore(a, &atomic.Bool{})
+	return b.(*atomic.Bool)
+}
+
+// severed loses what crosses a cut.
+type severed struct {
+	net.Conn
+	from, to *atomic.Bool
+}
+
+func (s severed) Write(p []byte) (int, error) {
+	if s.from.Load() || s.to.Load() {
+		return len(p), nil
+	}
+	return s.Conn.Write(p)
+}
+
+func (c *cluster) list() {
+	c.platform.mu.Lock()
+	defer c.platform.mu.Unlock()
+	c.platform.machines = nil
+	for i := range c.daemons {
+		c.platform.machines = append(c.platform.machines, watcher.Machine{Address: c.address(i, 7000)})
+	}
+}
+
+func (c *cluster) setAway(away bool) {
+	c.platform.mu.Lock()
+	defer c.platform.mu.Unlock()
+	c.platform.away = away
+}
+
+func (c *cluster) publish(text string, base uint64) {
+	c.t.Helper()
+	e, err := publisher.Publish(c.t.Context(), view{c.platform, &atomic.Bool{}}, publisher.Change{Team: "t", Base: base, Document: text}, time.Now)
+	require.NoError(c.t, err)
+	require.NoError(c.t, e.Result.Err)
+}
+
+func (c *cluster) withdraw() {
+	c.publish(fmt.Sprintf(testDocument, merger.HashKey("another"), c.backend.Listener.Addr()), 1)
+}
+
+func (c *cluster) eventually(f func() bool, what string) {
+	c.t.Helper()
+	require.Eventually(c.t, f, patience, 20*time.Millisecond, what)
+}
+
+// reply is what a caller got.
+type reply struct {
+	status          int
+	outcome, reason string
+	body            string
+}
+
+// ask sends a request to daemon i; name-value pairs are headers.
+func (c *cluster) ask(i int, method, path string, headers ...string) (reply, error) {
+	req, err := http.NewRequest(method, fmt.Sprintf("http://%s%s", c.address(i, 8080), path), nil)
+	require.NoError(c.t, err)
+	req.Header.Set("Authorization", "Bearer "+c.key)
+	for j := 0; j+1 < len(headers); j += 2 {
+		req.Header.Set(headers[j], headers[j+1])
+	}
+	rep, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return reply{}, err
+	}
+	defer func() { _ = rep.Body.Close() }()
+	b, err := io.ReadAll(rep.Body)
+	return reply{rep.StatusCode, rep.Header.Get(caller.HeaderOutcome), rep.Header.Get(caller.HeaderReason), string(b)}, err
+}
+
+func (c *cluster) answered(i int) bool {
+	r, err := c.ask(i, http.MethodGet, "/t/get/x")
+	return err == nil && r.outcome == "answered"
+}
+
+func (c *cluster) ran(job string) int64 {
+	n, ok := c.runs.Load(job)
+	if !ok {
+		return 0
+	}
+	return n.(*atomic.Int64).Load()
+}
--- a/pkg/detector/detector_test.go
+++ b/pkg/detector/detector_test.go
@@ -1,26 +1,21 @@
 package detector_test
 
 import (
-	"flag"
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"os"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/jacinthproxy/jacinthproxy/internal/chooser"
 	"github.com/jacinthproxy/jacinthproxy/pkg/asserter"
 	"github.com/jacinthproxy/jacinthproxy/pkg/detector"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "1")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { chooser.Main(m) }
 
 const instances = 16
 
--- a/pkg/mapper/mapper_test.go
+++ b/pkg/mapper/mapper_test.go
@@ -1,25 +1,20 @@
 package mapper_test
 
 import (
-	"flag"
 	"fmt"
 	"net/netip"
-	"os"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/jacinthproxy/jacinthproxy/internal/chooser"
 	"github.com/jacinthproxy/jacinthproxy/pkg/mapper"
 	"github.com/jacinthproxy/jacinthproxy/pkg/placer"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "1")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { chooser.Main(m) }
 
 func vm(i int, incarnation uint64) placer.VM {
 	return placer.VM{
--- a/pkg/merger/merger_test.go
+++ b/pkg/merger/merger_test.go
@@ -1,24 +1,19 @@
 package merger_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/jacinthproxy/jacinthproxy/internal/chooser"
 	"github.com/jacinthproxy/jacinthproxy/pkg/asserter"
 	"github.com/jacinthproxy/jacinthproxy/pkg/merger"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "1")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { chooser.Main(m) }
 
 func document(rate int) string {
 	return fmt.Sprintf(`{"clientAccounts": {"a": {"rate": %d, "burst": 5}}} // rate`, rate)
--- a/pkg/recorder/recorder_test.go
+++ b/pkg/recorder/recorder_test.go
@@ -1,10 +1,8 @@
 package recorder_test
 
 import (
-	"flag"
 	"fmt"
 	"net/netip"
-	"os"
 	"testing"
 	"time"
 
@@ -17,11 +15,7 @@
 	"github.com/jacinthproxy/jacinthproxy/pkg/recorder"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "1")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { chooser.Main(m) }
 
 const (
 	contact = 5 * time.Second
--- a/pkg/scheduler/scheduler_test.go
+++ b/pkg/scheduler/scheduler_test.go
@@ -1,25 +1,20 @@
 package scheduler_test
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/jacinthproxy/jacinthproxy/internal/chooser"
 	"github.com/jacinthproxy/jacinthproxy/pkg/asserter"
 	"github.com/jacinthproxy/jacinthproxy/pkg/scheduler"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "1")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { chooser.Main(m) }
 
 type job struct {
 	name  string
