--- a/internal/follower/state.go
+++ b/internal/follower/state.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"time"
 
-	"github.com/pkg/errors"
+	"github.com/cockroachdb/errors"
 
 	"github.com/jacinthproxy/jacinthproxy/pkg/mapper"
 	"github.com/jacinthproxy/jacinthproxy/pkg/merger"
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -174,9 +174,6 @@
 	return nil
 }
 
-// Self returns the daemon's identity in the fleet.
-func (s *Server) Self() placer.VM { return s.self }
-
 // InContact reports whether this VM may act on the configuration it has.
 func (s *Server) InContact() bool { return s.follower.Ready() && s.witness.Fresh(s.clock.Now()) }
 
--- a/pkg/detector/detector.go
+++ b/pkg/detector/detector.go
@@ -333,6 +333,3 @@
 	d.asserter.Check(d.live() >= d.minLive() || d.leastSick() == nil, asserter.RuleFloor,
 		"%d of %d instances live, floor %.2f", d.live(), len(d.instances), d.floor)
 }
-
-// Remove stops judging an instance that no longer exists; other indexes stay as they are.
-func (d *Detector) Remove(now time.Time, i int) { d.SetLeaving(now, i, true) }
--- a/pkg/limiter/owner.go
+++ b/pkg/limiter/owner.go
@@ -327,14 +327,3 @@
 	}
 	return st
 }
-
-// StateOf returns where a partition stands here, and whom it waits for.
-func (o *Owner) StateOf(p mapper.Partition) (State, placer.VM) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	s := o.partitions[p]
-	if s == nil {
-		return StateNone, placer.VM{}
-	}
-	return s.state, s.from
-}
--- a/pkg/parser/parser.go
+++ b/pkg/parser/parser.go
@@ -4,13 +4,13 @@
 	"bytes"
 	"encoding"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"reflect"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/tailscale/hujson"
 )
 
