Serve the whole path on the platform: readers by failure domain, direct sending

The platform's store replaces our own log: in each failure domain one VM reads it, the others hold an exchange open to that one. Requests go directly to an instance chosen from shared evidence; each account's bucket has one owner.

--- /dev/null
+++ b/internal/relayer/constants.go
@@ -0,0 +1,55 @@
+package relayer
+
+import "time"
+
+const (
+	// exchangeWait is how long a leader holds an exchange when there is nothing to tell. It is also how
+	// old a report of load may get, so it is near the time that a request runs.
+	exchangeWait = 300 * time.Millisecond
+	// leaderWait is the same between leaders, whose bytes cross failure domains.
+	leaderWait = 500 * time.Millisecond
+	// exchangeMargin is how much longer than the wait an answer may take until the leader counts as lost.
+	exchangeMargin = 300 * time.Millisecond
+	// reportPause collects urgent outcomes until they are sent.
+	reportPause = 20 * time.Millisecond
+	// suspectTime is how long a VM that did not answer is passed over.
+	suspectTime = time.Second
+	// downAfter is how long a leader does not hear a VM of its domain until it is down.
+	downAfter = 1500 * time.Millisecond
+	// configurationWait is how long a leader's read of the configuration waits for a change.
+	configurationWait = 1200 * time.Millisecond
+	// registrationPace is how often a leader reads the registry. A leaving instance must be out of use
+	// within 2 s on all VMs.
+	registrationPace = 500 * time.Millisecond
+	// peersPace is how often a leader reads the list of VMs.
+	peersPace = 3 * time.Second
+	// staleAfter is the age of the beliefs from which a VM reads the store itself. It is above what a
+	// leader's long read takes, and leaves time before keys count as unknown.
+	staleAfter = 1900 * time.Millisecond
+	// staleSpread spreads the reads of VMs that grow stale together.
+	staleSpread = 500 * time.Millisecond
+	// stalePause is the least time between two such reads of one VM.
+	stalePause = 700 * time.Millisecond
+	// readMargin is how long an answer of the store may take beyond the wait that was asked for.
+	readMargin = 1500 * time.Millisecond
+	// firstPause and longestPause bound the pauses after failed reads.
+	firstPause   = 100 * time.Millisecond
+	longestPause = time.Second
+	// tick is how often the roles are looked at.
+	tick = 100 * time.Millisecond
+	// takeTimeout bounds the wait for tokens: twice across failure domains takes 4 ms.
+	takeTimeout = 80 * time.Millisecond
+	// tokenWait is how long a request may wait for a token. An eighth of the shortest objective of the
+	// users' routes is free of charge.
+	tokenWait = 60 * time.Millisecond
+	// initialShare is the part of a second's rate that a new owner's bucket starts with. What a change of
+	// owners adds must stay within the slack of the rule, half a second's rate and 20 requests.
+	initialShare = 0.1
+	// aloneShare is the part of an account's rate that all VMs together admit without its owner; the rule
+	// leaves a tenth above the rate, and its slack.
+	aloneShare = 0.2
+	// aloneBurst is how many requests of an account one VM admits at once without its owner.
+	aloneBurst = 1
+	// boxLife is how long outcomes are kept for a peer that does not come for them.
+	boxLife = 3 * time.Second
+)
--- /dev/null
+++ b/internal/relayer/exchange.go
@@ -0,0 +1,318 @@
+package relayer
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/jacinthproxy/jacinthproxy/internal/messenger"
+	"github.com/jacinthproxy/jacinthproxy/internal/messenger/wire"
+	"github.com/jacinthproxy/jacinthproxy/internal/router"
+	"github.com/jacinthproxy/jacinthproxy/internal/tracker"
+	"github.com/jacinthproxy/jacinthproxy/pkg/balancer"
+	"github.com/jacinthproxy/jacinthproxy/pkg/placer"
+)
+
+// errStale is returned for a leader whose beliefs are old.
+var errStale = errors.New("the beliefs of the peer are old")
+
+// exchange tells a peer what this VM saw, and takes what the peer believes.
+func (r *Relayer) exchange(ctx context.Context, to netip.AddrPort, wait time.Duration, leader bool) error {
+	ctx, cancel := context.WithTimeout(ctx, wait+exchangeMargin)
+	defer cancel()
+	r.mu.Lock()
+	k := r.known[to]
+	m := &wire.Exchange{
+		Incarnation: k.incarnation, Sequence: k.sequence, WaitMs: uint32(wait.Milliseconds()),
+		Role: uint32(r.role), Capacity: r.Capacity, Leader: leader,
+	}
+	var sent box
+	if !leader {
+		sent, r.outgoing = r.outgoing, box{}
+		m.Seen = sent.message()
+	}
+	r.mu.Unlock()
+	for i, n := range r.Hearer.Running() {
+		if !leader && n > 0 {
+			m.Loads = append(m.Loads, &wire.Load{Instance: i, Running: uint32(n)})
+		}
+	}
+	began := r.Clock.Now()
+	b, err := r.ask(ctx, to, m)
+	if err != nil {
+		return err
+	}
+	r.trust(to)
+	r.take(to, began, b)
+	if wait > 0 && !leader && !fresh(b) {
+		return errStale
+	}
+	return nil
+}
+
+// ask calls a peer, and gives up at the context's end even if the connection does not.
+func (r *Relayer) ask(ctx context.Context, to netip.AddrPort, m *wire.Exchange) (*wire.Beliefs, error) {
+	rep, err := r.call(ctx, to, &wire.Request{Body: &wire.Request_Exchange{Exchange: m}})
+	return rep.GetBeliefs(), err
+}
+
+// call is Call with a bound that holds also while the connection is being opened.
+func (r *Relayer) call(ctx context.Context, to netip.AddrPort, req *wire.Request) (*wire.Reply, error) {
+	type result struct {
+		rep *wire.Reply
+		err error
+	}
+	ch := make(chan result, 1)
+	go func() {
+		rep, err := r.Messenger.Call(ctx, to, req)
+		ch <- result{rep, err}
+	}()
+	select {
+	case res := <-ch:
+		return res.rep, res.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func fresh(b *wire.Beliefs) bool {
+	return b.GetConfigurationKnown() && b.GetInstancesKnown() &&
+		time.Duration(b.GetConfigurationAgeMs())*time.Millisecond < staleAfter &&
+		time.Duration(b.GetInstancesAgeMs())*time.Millisecond < staleAfter
+}
+
+// take adopts what a peer believes. Its reads are dated by when the exchange began, for the answer
+// may have lain unread.
+func (r *Relayer) take(from netip.AddrPort, began time.Time, b *wire.Beliefs) {
+	now := r.Clock.Now()
+	if c := b.GetConfiguration(); len(c) > 0 {
+		var conf router.Configuration
+		if err := json.Unmarshal(c, &conf); err != nil {
+			r.Logger.Error("configuration of a peer cannot be read", zap.Stringer("peer", from), zap.Error(err))
+			return
+		}
+		r.Tracker.Configure(conf)
+	}
+	var es []tracker.Entry
+	for _, m := range b.GetRegistrations() {
+		e, err := fromRegistration(now, m)
+		if err != nil {
+			r.Logger.Error("registration of a peer cannot be read", zap.Stringer("peer", from), zap.Error(err))
+			continue
+		}
+		es = append(es, e)
+	}
+	r.Tracker.Adopt(es)
+	for _, m := range b.GetMembers() {
+		vm, err := messenger.FromVM(m.GetVm())
+		if err != nil {
+			r.Logger.Error("vm of a peer cannot be read", zap.Stringer("peer", from), zap.Error(err))
+			continue
+		}
+		if vm.Address != r.Self.Address {
+			at := now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond)
+			r.Tracker.Meet(tracker.Member{VM: vm, Role: tracker.Role(m.GetRole()), Capacity: m.GetCapacity(), At: at})
+		}
+	}
+	sent := began.Add(time.Duration(b.GetHeldMs()) * time.Millisecond)
+	var tableAt, entriesAt time.Time
+	if b.GetConfigurationKnown() {
+		tableAt = sent.Add(-time.Duration(b.GetConfigurationAgeMs()) * time.Millisecond)
+	}
+	if b.GetInstancesKnown() {
+		entriesAt = sent.Add(-time.Duration(b.GetInstancesAgeMs()) * time.Millisecond)
+	}
+	r.Tracker.Confirm(tableAt, entriesAt)
+	r.mu.Lock()
+	r.known[from] = cursor{b.GetIncarnation(), b.GetSequence()}
+	r.mu.Unlock()
+	r.hear(from, b)
+}
+
+// hear passes on what a peer heard of the instances.
+func (r *Relayer) hear(from netip.AddrPort, b *wire.Beliefs) {
+	running := map[string]int{}
+	for _, l := range b.GetLoads() {
+		running[l.GetInstance()] = int(l.GetRunning())
+	}
+	if !r.leads() {
+		r.Hearer.Hear(sightings(b.GetSeen()))
+		r.Hearer.Others(running)
+		return
+	}
+	r.mu.Lock()
+	r.loads[from] = load{running, r.Clock.Now()}
+	r.mu.Unlock()
+	r.deliver(from, true, b.GetSeen())
+	r.Hearer.Others(r.running(r.Self.Address, true))
+}
+
+// deliver puts what one VM saw into the boxes of the others, and hears it. What a leader of another
+// domain reports stays in this domain.
+func (r *Relayer) deliver(from netip.AddrPort, fromLeader bool, ms []*wire.Seen) {
+	if len(ms) == 0 {
+		return
+	}
+	if from != r.Self.Address {
+		r.Hearer.Hear(sightings(ms))
+	}
+	hurry := anyUrgent(ms)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for a, b := range r.boxes {
+		if a == from || fromLeader && b.leader {
+			continue
+		}
+		b.merge(ms)
+		if !hurry {
+			continue
+		}
+		select {
+		case b.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// running sums the requests at the instances over the VMs that report here, but for one; all says
+// whether those that leaders of other domains reported count.
+func (r *Relayer) running(but netip.AddrPort, all bool) map[string]int {
+	sum := map[string]int{}
+	if but != r.Self.Address {
+		maps.Copy(sum, r.Hearer.Running())
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Clock.Now()
+	for a, l := range r.loads {
+		b := r.boxes[a]
+		_, own := r.heard[a]
+		if a == but || now.Sub(l.at) > boxLife || !all && (b != nil && b.leader || !own) {
+			continue
+		}
+		for i, n := range l.running {
+			sum[i] += n
+		}
+	}
+	return sum
+}
+
+// answer handles an exchange.
+func (r *Relayer) answer(ctx context.Context, from placer.VM, m *wire.Exchange) *wire.Beliefs {
+	began := r.Clock.Now()
+	news := r.Tracker.Meet(tracker.Member{VM: from, Role: tracker.Role(m.GetRole()), Capacity: m.GetCapacity(), At: began})
+	if news {
+		r.trust(from.Address)
+	}
+	r.mu.Lock()
+	b := r.boxes[from.Address]
+	if b == nil {
+		b = &mailbox{box: box{}, wake: make(chan struct{}, 1)}
+		r.boxes[from.Address] = b
+	}
+	b.leader, b.usedAt = m.GetLeader(), began
+	if !m.GetLeader() {
+		r.heard[from.Address] = began
+		running := map[string]int{}
+		for _, l := range m.GetLoads() {
+			running[l.GetInstance()] = int(l.GetRunning())
+		}
+		r.loads[from.Address] = load{running, began}
+	}
+	r.mu.Unlock()
+	r.deliver(from.Address, false, m.GetSeen())
+	sequence := m.GetSequence()
+	if m.GetIncarnation() != r.Self.Incarnation {
+		sequence = 0
+	}
+	c := r.await(ctx, sequence, b, time.Duration(m.GetWaitMs())*time.Millisecond)
+	rep := r.beliefs(c)
+	r.mu.Lock()
+	rep.Seen = b.message()
+	b.box = box{}
+	r.mu.Unlock()
+	for i, n := range r.running(from.Address, !m.GetLeader()) {
+		if n > 0 {
+			rep.Loads = append(rep.Loads, &wire.Load{Instance: i, Running: uint32(n)})
+		}
+	}
+	rep.HeldMs = uint32(r.Clock.Since(began).Milliseconds())
+	return rep
+}
+
+// await returns the changes since a sequence number, as soon as there is something to tell.
+func (r *Relayer) await(ctx context.Context, sequence uint64, b *mailbox, wait time.Duration) tracker.Changes {
+	c, changed := r.Tracker.Since(sequence)
+	if c.Sequence != sequence || wait <= 0 {
+		return c
+	}
+	t := r.Clock.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.Chan():
+	case <-changed:
+	case <-b.wake:
+	}
+	c, _ = r.Tracker.Since(sequence)
+	return c
+}
+
+func (r *Relayer) beliefs(c tracker.Changes) *wire.Beliefs {
+	now := r.Clock.Now()
+	rep := &wire.Beliefs{
+		Incarnation: r.Self.Incarnation, Sequence: c.Sequence,
+		ConfigurationKnown: !c.TableAt.IsZero(), InstancesKnown: !c.EntriesAt.IsZero(),
+		ConfigurationAgeMs: age(now, c.TableAt), InstancesAgeMs: age(now, c.EntriesAt),
+	}
+	if c.Table != nil {
+		b, err := json.Marshal(c.Table.Configuration)
+		if err != nil {
+			r.Logger.Error("configuration cannot be written", zap.Error(err))
+			rep.ConfigurationKnown = false
+		}
+		rep.Configuration = b
+	}
+	for _, e := range c.Entries {
+		rep.Registrations = append(rep.Registrations, toRegistration(now, e))
+	}
+	for _, m := range c.Members {
+		rep.Members = append(rep.Members, &wire.Member{
+			Vm: messenger.ToVM(m.VM), Role: uint32(m.Role), Capacity: m.Capacity, AgeMs: age(now, m.At),
+		})
+	}
+	return rep
+}
+
+// age returns a time's age rounded up, in milliseconds, so that it is never younger on arrival.
+func age(now, at time.Time) uint32 {
+	if at.IsZero() {
+		return 0
+	}
+	return uint32(min(max(0, now.Sub(at).Milliseconds()+1), int64(time.Hour/time.Millisecond)))
+}
+
+func toRegistration(now time.Time, e tracker.Entry) *wire.Registration {
+	a, _ := e.Address.MarshalBinary() // It never fails.
+	return &wire.Registration{
+		Id: e.ID, Service: e.Service, Address: a, Domain: e.Domain, Slots: uint32(e.Slots),
+		WarmingMs: uint32(max(0, e.WarmAt.Sub(now).Milliseconds())), Condition: uint32(e.Condition),
+		Born: e.Born, Beat: e.Beat, Offset: e.Offset,
+	}
+}
+
+func fromRegistration(now time.Time, m *wire.Registration) (tracker.Entry, error) {
+	e := tracker.Entry{
+		Instance: balancer.Instance{
+			ID: m.GetId(), Service: m.GetService(), Domain: m.GetDomain(), Slots: int(m.GetSlots()),
+			WarmAt: now.Add(time.Duration(m.GetWarmingMs()) * time.Millisecond),
+		},
+		Condition: tracker.Condition(m.GetCondition()), Born: m.GetBorn(), Beat: m.GetBeat(), Offset: m.GetOffset(),
+	}
+	return e, errors.Wrap(e.Address.UnmarshalBinary(m.GetAddress()), "address of an instance")
+}
--- /dev/null
+++ b/internal/relayer/relayer.go
@@ -0,0 +1,263 @@
+package relayer
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/jacinthproxy/jacinthproxy/internal/messenger/wire"
+	"github.com/jacinthproxy/jacinthproxy/internal/tracker"
+	"github.com/jacinthproxy/jacinthproxy/pkg/balancer"
+	"github.com/jacinthproxy/jacinthproxy/pkg/placer"
+)
+
+// Messenger calls peers.
+type Messenger interface {
+	// Call sends a request to a peer and returns its reply.
+	Call(ctx context.Context, to netip.AddrPort, req *wire.Request) (*wire.Reply, error)
+}
+
+// Options are what a Relayer needs.
+type Options struct {
+	Self     placer.VM
+	Capacity float64
+	// Seeds are peers to begin with while the store's list is not read.
+	Seeds     []netip.AddrPort
+	Tracker   *tracker.Tracker
+	Messenger Messenger
+	Source    Source
+	Hearer    Hearer
+	Clock     clockwork.Clock
+	Logger    *zap.Logger
+}
+
+// Relayer exchanges beliefs with peers.
+type Relayer struct {
+	Options
+	rates *rates
+
+	mu   sync.Mutex
+	role tracker.Role
+	// suspects are peers that did not answer, until when they are passed over.
+	suspects map[netip.AddrPort]time.Time
+	// heard is when each VM of this domain last exchanged with this one.
+	heard map[netip.AddrPort]time.Time
+	// leadsSince is when this VM began to lead its domain; zero while it does not.
+	leadsSince time.Time
+	// outgoing collects what this VM saw for its leader.
+	outgoing box
+	// boxes collect what others saw for the peers that exchange with this VM.
+	boxes map[netip.AddrPort]*mailbox
+	// loads are the requests that peers run at the instances.
+	loads    map[netip.AddrPort]load
+	reportCh chan struct{}
+	known    map[netip.AddrPort]cursor
+}
+
+// mailbox holds what a peer is to be told.
+type mailbox struct {
+	box
+	// leader says that the peer leads another domain.
+	leader bool
+	usedAt time.Time
+	wake   chan struct{}
+}
+
+type load struct {
+	running map[string]int
+	at      time.Time
+}
+
+// cursor is how far this VM knows the changes of a peer.
+type cursor struct {
+	incarnation uint64
+	sequence    uint64
+}
+
+// New returns a relayer; Run starts it.
+func New(o Options) *Relayer {
+	r := &Relayer{
+		Options: o, suspects: map[netip.AddrPort]time.Time{}, heard: map[netip.AddrPort]time.Time{}, outgoing: box{},
+		boxes: map[netip.AddrPort]*mailbox{}, loads: map[netip.AddrPort]load{}, reportCh: make(chan struct{}, 1),
+		known: map[netip.AddrPort]cursor{},
+	}
+	r.rates = newRates(r)
+	return r
+}
+
+// SetMessenger sets how peers are called; it must be called before Run.
+func (r *Relayer) SetMessenger(m Messenger) { r.Messenger = m }
+
+// SetRole tells peers how this VM takes part.
+func (r *Relayer) SetRole(role tracker.Role) {
+	r.mu.Lock()
+	changed := r.role != role
+	r.role = role
+	r.mu.Unlock()
+	if !changed {
+		return
+	}
+	r.meetSelf()
+	r.wakeReport()
+}
+
+// Role returns how this VM takes part.
+func (r *Relayer) Role() tracker.Role {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.role
+}
+
+func (r *Relayer) meetSelf() {
+	r.Tracker.Meet(tracker.Member{VM: r.Self, Role: r.Role(), Capacity: r.Capacity, At: r.Clock.Now()})
+}
+
+// Run works until the context ends.
+func (r *Relayer) Run(ctx context.Context) {
+	r.meetSelf()
+	loops := []func(context.Context){r.announce, r.readConfiguration, r.readRegistrations, r.readPeers, r.follow, r.lead, r.report}
+	var g sync.WaitGroup
+	for _, l := range loops {
+		g.Go(func() { l(ctx) })
+	}
+	g.Wait()
+}
+
+func (r *Relayer) sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-r.Clock.After(d):
+	}
+}
+
+// suspect passes a peer over for a while.
+func (r *Relayer) suspect(a netip.AddrPort, why error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Clock.Now()
+	if now.After(r.suspects[a]) {
+		r.Logger.Info("peer lost", zap.Stringer("peer", a), zap.Error(why))
+	}
+	r.suspects[a] = now.Add(suspectTime)
+}
+
+func (r *Relayer) trust(a netip.AddrPort) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, ok := r.suspects[a]; ok {
+		delete(r.suspects, a)
+		r.Logger.Info("peer regained", zap.Stringer("peer", a))
+	}
+}
+
+// Suspected reports whether a peer did not answer just now.
+func (r *Relayer) Suspected(a netip.AddrPort) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.Clock.Now().Before(r.suspects[a])
+}
+
+// Ranked returns the VMs that may hold a soft role, best first; domain limits them, empty means all.
+func (r *Relayer) Ranked(key, domain string) []placer.VM {
+	capacity := map[netip.AddrPort]float64{}
+	var vms []placer.VM
+	for _, m := range r.Tracker.Members() {
+		self := m.Address == r.Self.Address
+		if domain != "" && m.Domain != domain || !self && r.Suspected(m.Address) {
+			continue
+		}
+		if m.Role == tracker.RoleDown && !self || m.Role == tracker.RoleLeaving {
+			continue
+		}
+		capacity[m.Address] = m.Capacity
+		vms = append(vms, m.VM)
+	}
+	return placer.RankWeighted(key, vms, func(v placer.VM) float64 { return capacity[v.Address] })
+}
+
+// leader returns the VM that reads the store for a domain; ok is false if none is known.
+func (r *Relayer) leader(domain string) (placer.VM, bool) {
+	vs := r.Ranked("leader/"+domain, domain)
+	if len(vs) == 0 {
+		return placer.VM{}, false
+	}
+	return vs[0], true
+}
+
+// leads reports whether this VM leads its domain.
+func (r *Relayer) leads() bool {
+	l, ok := r.leader(r.Self.Domain)
+	return !ok || l.Address == r.Self.Address
+}
+
+// Observe notes what this VM saw of an instance, for its peers.
+func (r *Relayer) Observe(instance string, o balancer.Outcome, relative float64) {
+	if o == balancer.OutcomeCanceled {
+		return
+	}
+	r.mu.Lock()
+	r.outgoing.add(instance, o, relative)
+	r.mu.Unlock()
+	if urgent(o) {
+		r.wakeReport()
+	}
+}
+
+func (r *Relayer) wakeReport() {
+	select {
+	case r.reportCh <- struct{}{}:
+	default:
+	}
+}
+
+// report tells the leader at once what is urgent.
+func (r *Relayer) report(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.reportCh:
+		}
+		r.sleep(ctx, reportPause)
+		l, ok := r.leader(r.Self.Domain)
+		if !ok || l.Address == r.Self.Address {
+			r.post()
+			continue
+		}
+		if err := r.exchange(ctx, l.Address, 0, false); err != nil {
+			r.suspect(l.Address, err)
+		}
+	}
+}
+
+// post gives what this VM saw to those that exchange with it.
+func (r *Relayer) post() {
+	r.mu.Lock()
+	ms := r.outgoing.message()
+	r.outgoing = box{}
+	r.mu.Unlock()
+	if len(ms) > 0 {
+		r.deliver(r.Self.Address, false, ms)
+	}
+}
+
+// Handle answers a request of a peer.
+func (r *Relayer) Handle(ctx context.Context, from placer.VM, req *wire.Request) (*wire.Reply, func(func(proto.Message) error) error, error) {
+	switch b := req.GetBody().(type) {
+	case *wire.Request_Exchange:
+		return &wire.Reply{Body: &wire.Reply_Beliefs{Beliefs: r.answer(ctx, from, b.Exchange)}}, nil, nil
+	case *wire.Request_Take:
+		t, err := r.rates.give(b.Take.GetAccount(), int(b.Take.GetWant()))
+		if err != nil {
+			return nil, nil, err
+		}
+		return &wire.Reply{Body: &wire.Reply_Taken{Taken: t}}, nil, nil
+	}
+	return nil, nil, errors.New("the message is of a kind that this daemon does not know")
+}
--- /dev/null
+++ b/internal/relayer/sighting.go
@@ -0,0 +1,96 @@
+package relayer
+
+import (
+	"github.com/jacinthproxy/jacinthproxy/internal/messenger/wire"
+	"github.com/jacinthproxy/jacinthproxy/pkg/balancer"
+)
+
+// Sighting is what was seen of an instance since the last report.
+type Sighting struct {
+	balancer.Report
+}
+
+// box collects sightings until they are sent.
+type box map[string]*tally
+
+type tally struct {
+	counts   [balancer.OutcomeMoved + 1]uint32
+	relative float64
+}
+
+func (b box) tally(instance string) *tally {
+	t := b[instance]
+	if t == nil {
+		t = &tally{}
+		b[instance] = t
+	}
+	return t
+}
+
+// add counts one outcome.
+func (b box) add(instance string, o balancer.Outcome, relative float64) {
+	t := b.tally(instance)
+	t.counts[o]++
+	if o == balancer.OutcomeAnswered && relative > 0 {
+		n := float64(t.counts[o])
+		t.relative += (relative - t.relative) / n
+	}
+}
+
+// merge adds the sightings of a message.
+func (b box) merge(ms []*wire.Seen) {
+	for _, m := range ms {
+		t := b.tally(m.GetInstance())
+		for i, n := range m.GetCounts() {
+			if i < len(t.counts) {
+				t.counts[i] += n
+			}
+		}
+		if m.GetRelative() > 0 {
+			t.relative = float64(m.GetRelative())
+		}
+	}
+}
+
+func (b box) message() []*wire.Seen {
+	ms := make([]*wire.Seen, 0, len(b))
+	for i, t := range b {
+		ms = append(ms, &wire.Seen{Instance: i, Counts: t.counts[:], Relative: float32(t.relative)})
+	}
+	return ms
+}
+
+func sightings(ms []*wire.Seen) []Sighting {
+	ss := make([]Sighting, 0, len(ms))
+	for _, m := range ms {
+		s := Sighting{balancer.Report{Instance: m.GetInstance(), Relative: float64(m.GetRelative()), Counts: map[balancer.Outcome]int{}}}
+		for i, n := range m.GetCounts() {
+			if n > 0 && i <= int(balancer.OutcomeMoved) {
+				s.Counts[balancer.Outcome(i)] = int(n)
+			}
+		}
+		ss = append(ss, s)
+	}
+	return ss
+}
+
+// urgent reports whether peers should hear of an outcome at once.
+func urgent(o balancer.Outcome) bool {
+	switch o {
+	case balancer.OutcomeError, balancer.OutcomeBroken, balancer.OutcomeUnreachable:
+		return true
+	case balancer.OutcomeAnswered, balancer.OutcomeOverdue, balancer.OutcomeShed, balancer.OutcomeCanceled, balancer.OutcomeMoved:
+	}
+	return false
+}
+
+func anyUrgent(ms []*wire.Seen) bool {
+	for _, m := range ms {
+		for i, n := range m.GetCounts() {
+			if n > 0 && urgent(balancer.Outcome(i)) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/runner/settings.go
@@ -0,0 +1,47 @@
+package runner
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Settings are what a daemon is told when it starts.
+type Settings struct {
+	Name   string
+	Domain string
+	Region string
+	// Domains are all failure domains.
+	Domains []string
+	// Callers, Readiness and Directory are the addresses that the daemon serves to others.
+	Callers, Readiness, Directory netip.AddrPort
+	// Peers is where other daemons reach it, and Operators where its state and metrics are read.
+	Peers, Operators netip.AddrPort
+	// Capacity is its share of a processor core.
+	Capacity float64
+	// Memory is the most that the process may use, in bytes.
+	Memory int64
+	// Descriptors is how many sockets it may open.
+	Descriptors int
+	Bounds      Bounds
+}
+
+// Bounds are the promises that a fleet keeps to its users.
+type Bounds struct {
+	// KeyAge is how long after its withdrawal a key may still be accepted.
+	KeyAge time.Duration
+	// StopGrace is how long after a request to stop the process is killed.
+	StopGrace time.Duration
+	// RetryRatio and RetrySlack bound the requests that are sent once more, within RetryWindow.
+	RetryRatio, RetrySlack float64
+	RetryWindow            time.Duration
+	// MaxAddressLife is the longest time that callers keep a list of addresses.
+	MaxAddressLife time.Duration
+}
+
+// DefaultBounds returns the bounds of a fleet whose platform gives none.
+func DefaultBounds() Bounds {
+	return Bounds{
+		KeyAge: 5 * time.Second, StopGrace: 6 * time.Second, RetryRatio: 0.2, RetrySlack: 50,
+		RetryWindow: 10 * time.Second, MaxAddressLife: 5 * time.Second,
+	}
+}
--- a/main.go
+++ b/main.go
@@ -23,6 +23,7 @@
 )
 
 type commands struct {
+	Gateway gatewayCommand `cmd:"" help:"Run a daemon on the platform with a metadata store."`
 	Serve   serveCommand   `cmd:"" help:"Run a daemon."`
 	Check   checkCommand   `cmd:"" help:"Check a settings file and documents of the configuration."`
 	Config  configCommand  `cmd:"" help:"Publish and read the configuration."`
--- /dev/null
+++ b/pkg/balancer/balancer.go
@@ -0,0 +1,301 @@
+package balancer
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+const (
+	// suspicion is the evidence from which an instance is suspected: one broken connection, or two errors.
+	suspicion = 4.5
+	// maxEvidence bounds the evidence, so that a recovered instance is cleared by about five answers.
+	maxEvidence = 11.0
+	// minEvidence bounds the credit of past answers, so that a new fault shows at once.
+	minEvidence = -2.0
+	// fadeTime is the half-life of evidence: troubles of this platform last some seconds.
+	fadeTime = 3 * time.Second
+	// trialShare is the chance that an idempotent request tries out a suspect.
+	trialShare = 0.1
+	// maxExcluded is the share of a service's instances that suspicion may take out of use. The
+	// rule allows 0.3 of the sound ones; suspects get trials besides, which count as use.
+	maxExcluded = 0.35
+	// crossing is the expected wait, in service times, that staying in the failure domain is worth.
+	crossing = 0.6
+	// warming is the expected extra wait, in service times, at an instance that has just started.
+	warming = 0.8
+	// jitter spreads choices that different VMs make from the same reports, in service times.
+	jitter = 0.35
+	// reportLife is how long another VM's report of its load counts.
+	reportLife = 1500 * time.Millisecond
+	// latencyWeight is the weight of a new latency in the moving average.
+	latencyWeight = 0.15
+	// minRelative and maxRelative bound how fast or slow an instance is taken to be against the others.
+	minRelative = 0.5
+	maxRelative = 12.0
+)
+
+// Instance is one instance of a service.
+type Instance struct {
+	ID      string         `json:"id"`
+	Service string         `json:"service"`
+	Address netip.AddrPort `json:"address"`
+	Domain  string         `json:"domain"`
+	Slots   int            `json:"slots"`
+	// WarmAt is when the instance has its full speed.
+	WarmAt time.Time `json:"warmAt,omitzero"`
+}
+
+// state is what is known of an instance.
+type state struct {
+	Instance
+	evidence float64
+	at       time.Time
+	// running counts this process's requests, and others what peers reported.
+	running  int
+	others   int
+	othersAt time.Time
+	// relative is the moving average of its latencies, each as a multiple of what its route usually takes.
+	relative float64
+	trials   int
+}
+
+// Balancer chooses among the instances of one service.
+type Balancer struct {
+	domain    string
+	random    *rand.Rand
+	instances map[string]*state
+	order     []*state
+}
+
+// New returns a balancer for a process in a failure domain.
+func New(domain string, r *rand.Rand) *Balancer {
+	return &Balancer{domain: domain, random: r, instances: map[string]*state{}}
+}
+
+// Set replaces the instances that may be used; what is known of those that stay is kept.
+func (b *Balancer) Set(is []Instance) {
+	next := make(map[string]*state, len(is))
+	b.order = b.order[:0]
+	for _, i := range is {
+		s := b.instances[i.ID]
+		if s == nil || s.Address != i.Address {
+			s = &state{relative: 1}
+		}
+		s.Instance = i
+		next[i.ID] = s
+		b.order = append(b.order, s)
+	}
+	b.instances = next
+	slices.SortFunc(b.order, func(x, y *state) int { return cmp.Compare(x.ID, y.ID) })
+}
+
+// Len returns how many instances may be used.
+func (b *Balancer) Len() int { return len(b.order) }
+
+// Want is what a request needs of an instance.
+type Want struct {
+	Idempotent bool
+	// Tried are the ids of the instances that had the request before.
+	Tried []string
+}
+
+// Choice is an instance with what decided it.
+type Choice struct {
+	Instance
+	Evidence float64
+	// Load is the requests that are known to run there.
+	Load  int
+	Trial bool
+}
+
+// Pick chooses an instance and counts the request as running there until Done.
+func (b *Balancer) Pick(now time.Time, w Want) (Choice, bool) {
+	suspects := b.suspects(now)
+	if w.Idempotent && len(w.Tried) == 0 {
+		if s := b.trial(suspects); s != nil {
+			return b.take(now, s, true), true
+		}
+	}
+	var best *state
+	lowest := math.Inf(1)
+	for _, s := range b.order {
+		if slices.Contains(w.Tried, s.ID) {
+			continue
+		}
+		c := b.cost(now, s)
+		if slices.Contains(suspects, s) {
+			c += 1000 + s.evidence
+		}
+		if c < lowest {
+			best, lowest = s, c
+		}
+	}
+	if best == nil {
+		return Choice{}, false
+	}
+	return b.take(now, best, false), true
+}
+
+func (b *Balancer) take(now time.Time, s *state, trial bool) Choice {
+	c := Choice{Instance: s.Instance, Evidence: s.evidence, Load: s.load(now), Trial: trial}
+	s.running++
+	if trial {
+		s.trials++
+	}
+	return c
+}
+
+// trial returns a suspect that an idempotent request shall try out, or nil.
+func (b *Balancer) trial(suspects []*state) *state {
+	if len(suspects) == 0 || b.random.Float64() >= trialShare*math.Sqrt(float64(len(suspects))) {
+		return nil
+	}
+	s := suspects[b.random.IntN(len(suspects))]
+	if s.trials > 0 {
+		return nil
+	}
+	return s
+}
+
+// suspects returns the instances that suspicion takes out of use, the worst ones if they are too many.
+func (b *Balancer) suspects(now time.Time) []*state {
+	var ss []*state
+	for _, s := range b.order {
+		if s.fade(now); s.evidence >= suspicion {
+			ss = append(ss, s)
+		}
+	}
+	most := int(maxExcluded * float64(len(b.order)))
+	if len(ss) > most {
+		slices.SortFunc(ss, func(x, y *state) int { return cmp.Compare(y.evidence, x.evidence) })
+		ss = ss[:most]
+	}
+	return ss
+}
+
+// cost is the expected wait at an instance in service times.
+func (b *Balancer) cost(now time.Time, s *state) float64 {
+	slots := float64(max(1, s.Slots))
+	l := float64(s.load(now))
+	c := s.relative * (1 + 0.3*l/slots + max(0, l+1-slots)/slots)
+	if s.Domain != b.domain {
+		c += crossing
+	}
+	if now.Before(s.WarmAt) {
+		c += warming
+	}
+	return c + jitter*b.random.Float64() + max(0, s.evidence)/suspicion
+}
+
+func (s *state) load(now time.Time) int {
+	if now.Sub(s.othersAt) > reportLife {
+		return s.running
+	}
+	return s.running + s.others
+}
+
+func (s *state) fade(now time.Time) {
+	if d := now.Sub(s.at); d > 0 {
+		s.evidence *= math.Exp2(-d.Seconds() / fadeTime.Seconds())
+		s.at = now
+	}
+}
+
+// Done ends a request at the instance of a choice. Relative is its latency as a multiple of what its
+// route usually takes; zero if that says nothing.
+func (b *Balancer) Done(now time.Time, c Choice, o Outcome, relative float64) {
+	s := b.instances[c.ID]
+	if s == nil {
+		return
+	}
+	s.running = max(0, s.running-1)
+	if c.Trial {
+		s.trials = max(0, s.trials-1)
+	}
+	s.observe(now, ratio(o, true))
+	if o == OutcomeAnswered && relative > 0 {
+		s.learn(relative)
+	}
+}
+
+// Note takes evidence of a request that still runs.
+func (b *Balancer) Note(now time.Time, id string, o Outcome) {
+	if s := b.instances[id]; s != nil {
+		s.observe(now, ratio(o, true))
+	}
+}
+
+// Report is what another process saw of an instance.
+type Report struct {
+	Instance string
+	Counts   map[Outcome]int
+	// Relative is the mean latency of its answers as a multiple of what the routes usually take.
+	Relative float64
+}
+
+// Hear takes a report of another process.
+func (b *Balancer) Hear(now time.Time, r Report) {
+	s := b.instances[r.Instance]
+	if s == nil {
+		return
+	}
+	// Answers first: the failures of the same report are the newer trouble.
+	for o := range OutcomeMoved + 1 {
+		for range min(r.Counts[o], maxCounted) {
+			s.observe(now, ratio(o, false))
+		}
+	}
+	if r.Counts[OutcomeAnswered] > 0 && r.Relative > 0 {
+		s.learn(r.Relative)
+	}
+}
+
+// maxCounted bounds the outcomes of one kind that one report brings.
+const maxCounted = 8
+
+// Others tells how many requests the other processes run at an instance.
+func (b *Balancer) Others(now time.Time, id string, n int) {
+	if s := b.instances[id]; s != nil {
+		s.others, s.othersAt = n, now
+	}
+}
+
+// Running calls f with the requests that this process runs at each instance.
+func (b *Balancer) Running(f func(id string, n int)) {
+	for _, s := range b.order {
+		f(s.ID, s.running)
+	}
+}
+
+func (s *state) observe(now time.Time, r float64) {
+	s.fade(now)
+	s.evidence = max(minEvidence, min(maxEvidence, s.evidence+r))
+}
+
+func (s *state) learn(relative float64) {
+	r := min(maxRelative, max(minRelative, relative))
+	s.relative += latencyWeight * (r - s.relative)
+}
+
+// Judgement is what is known of an instance, for dumps.
+type Judgement struct {
+	Instance
+	Evidence float64 `json:"evidence"`
+	Suspect  bool    `json:"suspect"`
+	Load     int     `json:"load"`
+	Relative float64 `json:"relativeLatency"`
+}
+
+// Judgements returns what is known of all instances.
+func (b *Balancer) Judgements(now time.Time) []Judgement {
+	suspects := b.suspects(now)
+	js := make([]Judgement, 0, len(b.order))
+	for _, s := range b.order {
+		js = append(js, Judgement{s.Instance, s.evidence, slices.Contains(suspects, s), s.load(now), s.relative})
+	}
+	return js
+}
--- a/pkg/placer/rank.go
+++ b/pkg/placer/rank.go
@@ -1,6 +1,9 @@
 package placer
 
 import (
+	"cmp"
+	"math"
+	"net/netip"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -45,3 +48,19 @@
 	}
 	return vms
 }
+
+// RankWeighted returns the candidates ordered so that each is first for a share of all keys that is
+// in proportion to its weight; weights that are not positive count as very small.
+func RankWeighted(key string, candidates []VM, weight func(VM) float64) []VM {
+	k := Hash(key)
+	score := make(map[netip.AddrPort]float64, len(candidates))
+	for _, c := range candidates {
+		u := (float64(Weight(k, Hash(c.ID()))>>11) + 0.5) / (1 << 53)
+		score[c.Address] = -math.Log(u) / max(weight(c), 1e-9)
+	}
+	vms := slices.Clone(candidates)
+	slices.SortFunc(vms, func(a, b VM) int {
+		return cmp.Or(cmp.Compare(score[a.Address], score[b.Address]), Compare(a, b))
+	})
+	return vms
+}
