--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -22,11 +22,11 @@
 var errStale = errors.New("the beliefs of the peer are old")
 
 // exchange tells a peer what this VM saw, and takes what the peer believes.
-func (r *Relayer) exchange(ctx context.Context, to netip.AddrPort, wait time.Duration, leader bool) error {
+func (r *Relayer) exchange(ctx context.Context, to placer.VM, wait time.Duration, leader bool) error {
 	ctx, cancel := context.WithTimeout(ctx, wait+exchangeMargin)
 	defer cancel()
 	r.mu.Lock()
-	k := r.known[to]
+	k := r.known[to.Address]
 	m := &wire.Exchange{
 		Incarnation: k.incarnation, Sequence: k.sequence, WaitMs: uint32(wait.Milliseconds()),
 		Role: uint32(r.role), Capacity: r.Capacity, Leader: leader,
@@ -43,12 +43,12 @@
 		}
 	}
 	began := r.Clock.Now()
-	b, err := r.ask(ctx, to, m)
+	b, err := r.ask(ctx, to.Address, m)
 	if err != nil {
 		return err
 	}
-	r.trust(to)
-	r.take(to, began, b)
+	r.trust(to.Address)
+	r.take(to, leader, began, b)
 	if wait > 0 && !leader && !fresh(b) {
 		return errStale
 	}
@@ -88,12 +88,12 @@
 
 // take adopts what a peer believes. Its reads are dated by when the exchange began, for the answer
 // may have lain unread.
-func (r *Relayer) take(from netip.AddrPort, began time.Time, b *wire.Beliefs) {
+func (r *Relayer) take(from placer.VM, leader bool, began time.Time, b *wire.Beliefs) {
 	now := r.Clock.Now()
 	if c := b.GetConfiguration(); len(c) > 0 {
 		var conf router.Configuration
 		if err := json.Unmarshal(c, &conf); err != nil {
-			r.Logger.Error("configuration of a peer cannot be read", zap.Stringer("peer", from), zap.Error(err))
+			r.Logger.Error("configuration of a peer cannot be read", zap.Stringer("peer", from.Address), zap.Error(err))
 			return
 		}
 		r.Tracker.Configure(conf)
@@ -102,7 +102,7 @@
 	for _, m := range b.GetRegistrations() {
 		e, err := fromRegistration(now, m)
 		if err != nil {
-			r.Logger.Error("registration of a peer cannot be read", zap.Stringer("peer", from), zap.Error(err))
+			r.Logger.Error("registration of a peer cannot be read", zap.Stringer("peer", from.Address), zap.Error(err))
 			continue
 		}
 		es = append(es, e)
@@ -111,7 +111,7 @@
 	for _, m := range b.GetMembers() {
 		vm, err := messenger.FromVM(m.GetVm())
 		if err != nil {
-			r.Logger.Error("vm of a peer cannot be read", zap.Stringer("peer", from), zap.Error(err))
+			r.Logger.Error("vm of a peer cannot be read", zap.Stringer("peer", from.Address), zap.Error(err))
 			continue
 		}
 		if vm.Address != r.Self.Address {
@@ -129,9 +129,14 @@
 	}
 	r.Tracker.Confirm(tableAt, entriesAt)
 	r.mu.Lock()
-	r.known[from] = cursor{b.GetIncarnation(), b.GetSequence()}
+	r.known[from.Address] = cursor{b.GetIncarnation(), b.GetSequence()}
+	if leader {
+		r.domainsLive[from.Domain] = count{int(b.GetLive()), sent}
+	} else {
+		r.fleetLive = count{int(b.GetLiveFleet()), sent}
+	}
 	r.mu.Unlock()
-	r.hear(from, b)
+	r.hear(from.Address, b)
 }
 
 // hear passes on what a peer heard of the instances.
@@ -241,6 +246,7 @@
 			rep.Loads = append(rep.Loads, &wire.Load{Instance: i, Running: uint32(n)})
 		}
 	}
+	rep.Live, rep.LiveFleet = r.live()
 	rep.HeldMs = uint32(r.Clock.Since(began).Milliseconds())
 	return rep
 }
@@ -316,3 +322,46 @@
 	}
 	return e, errors.Wrap(e.Address.UnmarshalBinary(m.GetAddress()), "address of an instance")
 }
+
+// live returns how many VMs of its domain this VM hears, itself included, and how many of the fleet hear
+// each other as far as leaders told it just now.
+func (r *Relayer) live() (domain, fleet uint32) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Clock.Now()
+	domain = 1
+	for a, at := range r.heard {
+		if a != r.Self.Address && now.Sub(at) < downAfter {
+			domain++
+		}
+	}
+	fleet = domain
+	for _, c := range r.domainsLive {
+		if now.Sub(c.at) < downAfter {
+			fleet += uint32(c.n)
+		}
+	}
+	return domain, fleet
+}
+
+// together returns the part of the fleet that this VM is in touch with, through its leader or as one.
+func (r *Relayer) together() float64 {
+	known := 0
+	now := r.Clock.Now()
+	for _, m := range r.Tracker.Members() {
+		if m.Role != tracker.RoleDown || now.Sub(m.At) < countedDown {
+			known++
+		}
+	}
+	live := uint32(1)
+	if r.leads() {
+		_, live = r.live()
+	} else {
+		r.mu.Lock()
+		if now.Sub(r.fleetLive.at) < downAfter {
+			live = uint32(r.fleetLive.n)
+		}
+		r.mu.Unlock()
+	}
+	return min(1, float64(live)/float64(max(1, known))+togetherSlack)
+}
--- a/internal/relayer/loops.go
+++ b/internal/relayer/loops.go
@@ -36,7 +36,7 @@
 			r.sleep(ctx, tick)
 			continue
 		}
-		err := r.exchange(ctx, l.Address, exchangeWait, false)
+		err := r.exchange(ctx, l, exchangeWait, false)
 		if err == nil {
 			continue
 		}
@@ -108,7 +108,7 @@
 			r.sleep(ctx, tick)
 			continue
 		}
-		if err := r.exchange(ctx, l.Address, leaderWait, true); err != nil && ctx.Err() == nil {
+		if err := r.exchange(ctx, l, leaderWait, true); err != nil && ctx.Err() == nil {
 			r.suspect(l.Address, err)
 			r.sleep(ctx, tick)
 		}
--- a/internal/relayer/rates.go
+++ b/internal/relayer/rates.go
@@ -8,10 +8,12 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/jacinthproxy/jacinthproxy/internal/messenger"
 	"github.com/jacinthproxy/jacinthproxy/internal/messenger/wire"
 	"github.com/jacinthproxy/jacinthproxy/internal/router"
 	"github.com/jacinthproxy/jacinthproxy/internal/tracker"
 	"github.com/jacinthproxy/jacinthproxy/pkg/limiter"
+	"github.com/jacinthproxy/jacinthproxy/pkg/placer"
 )
 
 // rates holds the buckets of the accounts that this VM owns, and admits requests.
@@ -20,11 +22,11 @@
 	mu      sync.Mutex
 	owned   map[string]*limiter.Bucket
 	// alone are the buckets used while an account's owner does not answer.
-	alone map[string]*limiter.Bucket
+	alone map[string]*local
 }
 
 func newRates(r *Relayer) *rates {
-	return &rates{relayer: r, owned: map[string]*limiter.Bucket{}, alone: map[string]*limiter.Bucket{}}
+	return &rates{relayer: r, owned: map[string]*limiter.Bucket{}, alone: map[string]*local{}}
 }
 
 // Admission is the verdict on one request of an account.
@@ -52,31 +54,48 @@
 	}
 }
 
+// owner returns the VM that holds an account's bucket. It is the same for all VMs that know the same
+// members: one that does not answer me just now may well answer others, so it stays the owner until its
+// leader finds it down.
+func (r *Relayer) owner(account string) (placer.VM, bool) {
+	vs := r.ranked("rate/"+account, func(tracker.Member) bool { return true })
+	if len(vs) == 0 {
+		return placer.VM{}, false
+	}
+	return vs[0], true
+}
+
 func (r *Relayer) admit(ctx context.Context, a *router.Account) Admission {
-	const owners = 2
-	for i, o := range r.Ranked("rate/"+a.Name, "") {
-		if i == owners {
-			break
-		}
-		if o.Address == r.Self.Address {
-			t, err := r.rates.give(a.Name, 1)
-			if err == nil {
-				return admission(t, o.ID())
-			}
-			continue
-		}
-		c, cancel := context.WithTimeout(ctx, takeTimeout)
-		rep, err := r.call(c, o.Address, &wire.Request{Body: &wire.Request_Take{Take: &wire.Take{Account: a.Name, Want: 1}}})
-		cancel()
-		if err == nil {
-			return admission(rep.GetTaken(), o.ID())
-		}
-		if ctx.Err() != nil {
-			break
-		}
+	o, ok := r.owner(a.Name)
+	if !ok {
+		return r.rates.admitAlone(a)
+	}
+	var t *wire.Taken
+	var err error
+	if o.Address == r.Self.Address {
+		t, err = r.rates.give(a.Name, 1)
+	} else {
+		t, err = r.askOwner(ctx, o, a.Name)
+	}
+	if err != nil {
+		return r.rates.admitAlone(a)
+	}
+	r.rates.granted(a.Name, t.GetTokens())
+	return admission(t, o.ID())
+}
+
+// askOwner asks another VM for a token.
+func (r *Relayer) askOwner(ctx context.Context, o placer.VM, account string) (*wire.Taken, error) {
+	if r.Suspected(o.Address) {
+		return nil, errors.New("the owner did not answer just now")
+	}
+	c, cancel := context.WithTimeout(ctx, takeTimeout)
+	defer cancel()
+	rep, err := r.call(c, o.Address, &wire.Request{Body: &wire.Request_Take{Take: &wire.Take{Account: account, Want: 1}}})
+	if err != nil && ctx.Err() == nil && !errors.Is(err, messenger.ErrRefused) {
 		r.suspect(o.Address, errors.Wrap(err, "owner of a rate"))
 	}
-	return r.rates.alone1(a)
+	return rep.GetTaken(), err
 }
 
 func admission(t *wire.Taken, owner string) Admission {
@@ -97,6 +116,8 @@
 	if !ok {
 		return nil, errors.Newf("client account %s is not configured here", account)
 	}
+	// An owner that lost touch with a part of the fleet leaves that part its share.
+	l = limiter.Limit{Rate: l.Rate * r.together(), Burst: l.Burst}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := r.Clock.Now()
@@ -129,19 +150,53 @@
 	return &wire.Taken{NextMs: uint32(min(missing/l.Rate*1000+1, 60_000))}
 }
 
-// alone1 admits a request without the account's owner, within a part that all VMs share.
-func (s *rates) alone1(a *router.Account) Admission {
+// local is what a VM needs to go on without the owner of an account.
+type local struct {
+	bucket *limiter.Bucket
+	// recent counts the tokens that the owner granted since since, and before those of the time before.
+	recent, before uint32
+	since          time.Time
+	grantedAt      time.Time
+}
+
+func (s *rates) local(now time.Time, account string) *local {
+	l := s.alone[account]
+	if l == nil {
+		l = &local{since: now}
+		s.alone[account] = l
+	}
+	if now.Sub(l.since) > aloneTime {
+		l.before, l.recent, l.since = l.recent, 0, now
+	}
+	return l
+}
+
+// granted notes what the owner of an account granted.
+func (s *rates) granted(account string, n uint32) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.relayer.Clock.Now()
+	l := s.local(now, account)
+	l.recent += n
+	l.grantedAt = now
+}
+
+// admitAlone admits a request without the account's owner: for a moment at the rate that was granted
+// here lately, then within a small part of the rate that all VMs share.
+func (s *rates) admitAlone(a *router.Account) Admission {
 	r := s.relayer
 	n := float64(max(1, len(r.Tracker.Members())))
-	l := limiter.Limit{Rate: aloneShare * a.Rate / n, Burst: aloneBurst}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := r.Clock.Now()
-	b := s.alone[a.Name]
-	if b == nil {
-		b = limiter.NewBucket(now, l, aloneBurst)
-		s.alone[a.Name] = b
+	l := s.local(now, a.Name)
+	limit := limiter.Limit{Rate: aloneShare * a.Rate / n, Burst: aloneBurst}
+	if now.Sub(l.grantedAt) < aloneTime {
+		limit.Rate += float64(max(l.recent, l.before)) / aloneTime.Seconds()
 	}
-	b.SetLimit(now, l)
-	return admission(take(b, now, l, 1), "")
+	if l.bucket == nil {
+		l.bucket = limiter.NewBucket(now, limit, aloneBurst)
+	}
+	l.bucket.SetLimit(now, limit)
+	return admission(take(l.bucket, now, limit, 1), "")
 }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -58,6 +58,16 @@
 	loads    map[netip.AddrPort]load
 	reportCh chan struct{}
 	known    map[netip.AddrPort]cursor
+	// domainsLive are the VMs that hear each other in the other failure domains, as their leaders told.
+	domainsLive map[string]count
+	// fleetLive is the same of the whole fleet, as this VM's leader told.
+	fleetLive count
+}
+
+// count is a number of VMs at a time.
+type count struct {
+	n  int
+	at time.Time
 }
 
 // mailbox holds what a peer is to be told.
@@ -85,7 +95,7 @@
 	r := &Relayer{
 		Options: o, suspects: map[netip.AddrPort]time.Time{}, heard: map[netip.AddrPort]time.Time{}, outgoing: box{},
 		boxes: map[netip.AddrPort]*mailbox{}, loads: map[netip.AddrPort]load{}, reportCh: make(chan struct{}, 1),
-		known: map[netip.AddrPort]cursor{},
+		known: map[netip.AddrPort]cursor{}, domainsLive: map[string]count{},
 	}
 	r.rates = newRates(r)
 	return r
@@ -163,13 +173,13 @@
 	return r.Clock.Now().Before(r.suspects[a])
 }
 
-// Ranked returns the VMs that may hold a soft role, best first; domain limits them, empty means all.
-func (r *Relayer) Ranked(key, domain string) []placer.VM {
+// ranked returns the VMs that may hold a soft role and that are kept, best first.
+func (r *Relayer) ranked(key string, keep func(tracker.Member) bool) []placer.VM {
 	capacity := map[netip.AddrPort]float64{}
 	var vms []placer.VM
 	for _, m := range r.Tracker.Members() {
 		self := m.Address == r.Self.Address
-		if domain != "" && m.Domain != domain || !self && r.Suspected(m.Address) {
+		if !keep(m) {
 			continue
 		}
 		if m.Role == tracker.RoleDown && !self || m.Role == tracker.RoleLeaving {
@@ -183,7 +193,9 @@
 
 // leader returns the VM that reads the store for a domain; ok is false if none is known.
 func (r *Relayer) leader(domain string) (placer.VM, bool) {
-	vs := r.Ranked("leader/"+domain, domain)
+	vs := r.ranked("leader/"+domain, func(m tracker.Member) bool {
+		return m.Domain == domain && (m.Address == r.Self.Address || !r.Suspected(m.Address))
+	})
 	if len(vs) == 0 {
 		return placer.VM{}, false
 	}
@@ -230,7 +242,7 @@
 			r.post()
 			continue
 		}
-		if err := r.exchange(ctx, l.Address, 0, false); err != nil {
+		if err := r.exchange(ctx, l, 0, false); err != nil {
 			r.suspect(l.Address, err)
 		}
 	}
