--- a/gateway.go
+++ b/gateway.go
@@ -5,6 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/jacinthproxy/jacinthproxy/internal/logger"
 	"github.com/jacinthproxy/jacinthproxy/internal/runner"
 	"github.com/jacinthproxy/jacinthproxy/internal/timekeeper"
 	"github.com/jacinthproxy/jacinthproxy/platform"
@@ -28,18 +29,18 @@
 	if err != nil {
 		return err
 	}
-	logger, err := newLogger(c.Level)
+	log, flush, err := logger.New(c.Level, os.Stdout)
 	if err != nil {
 		return err
 	}
-	defer func() { _ = logger.Sync() }()
+	defer flush()
 	clock, err := timekeeper.New()
 	if err != nil {
 		return err
 	}
 	d, err := runner.New(runner.Options{
-		Settings: s, Source: platform.NewStore(store, logger), Dialect: platform.Dialect(), Entry: platform.Entry,
-		Clock: clock, Logger: logger,
+		Settings: s, Source: platform.NewStore(store, log), Dialect: platform.Dialect(), Entry: platform.Entry,
+		Clock: clock, Logger: log,
 	})
 	if err != nil {
 		return err
--- a/internal/receiver/exchange.go
+++ b/internal/receiver/exchange.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"github.com/jacinthproxy/jacinthproxy/internal/forwarder"
+	"github.com/jacinthproxy/jacinthproxy/internal/logger"
 	"github.com/jacinthproxy/jacinthproxy/internal/relayer"
 	"github.com/jacinthproxy/jacinthproxy/internal/router"
 )
@@ -293,7 +294,7 @@
 	}
 	x.w.WriteHeader(e.status)
 	if _, err := io.Copy(x.w, io.MultiReader(bytes.NewReader(a.Body), a.Rest)); err != nil {
-		x.Logger.Info("answer cut", zap.String("id", x.id), zap.Error(err))
+		x.Logger.Info("answer cut", zap.String("id", x.id), logger.Cause(err))
 		// The caller must see that the answer is not whole.
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/relayer/constants.go
+++ b/internal/relayer/constants.go
@@ -17,15 +17,15 @@
 	// downAfter is how long a leader does not hear a VM of its domain until it is down.
 	downAfter = 1500 * time.Millisecond
 	// configurationWait is how long a leader's read of the configuration waits for a change.
-	configurationWait = 1200 * time.Millisecond
+	configurationWait = 900 * time.Millisecond
 	// registrationPace is how often a leader reads the registry. A leaving instance must be out of use
 	// within 2 s on all VMs.
 	registrationPace = 500 * time.Millisecond
 	// peersPace is how often a leader reads the list of VMs.
 	peersPace = 3 * time.Second
-	// staleAfter is the age of the beliefs from which a VM reads the store itself. It is above what a
-	// leader's long read takes, and leaves time before keys count as unknown.
-	staleAfter = 1900 * time.Millisecond
+	// staleAfter is the age of the beliefs from which a VM reads the store itself. A leader's beliefs
+	// grow as old as two of its long reads; a key may be used for 4 s.
+	staleAfter = 2300 * time.Millisecond
 	// staleSpread spreads the reads of VMs that grow stale together.
 	staleSpread = 500 * time.Millisecond
 	// stalePause is the least time between two such reads of one VM.
@@ -39,12 +39,13 @@
 	tick = 100 * time.Millisecond
 	// takeTimeout bounds the wait for tokens: twice across failure domains takes 4 ms.
 	takeTimeout = 80 * time.Millisecond
-	// tokenWait is how long a request may wait for a token. An eighth of the shortest objective of the
-	// users' routes is free of charge.
-	tokenWait = 60 * time.Millisecond
-	// initialShare is the part of a second's rate that a new owner's bucket starts with. What a change of
-	// owners adds must stay within the slack of the rule, half a second's rate and 20 requests.
-	initialShare = 0.1
+	// tokenWait is how long a request may wait for a token, if there will be one by then.
+	tokenWait = 120 * time.Millisecond
+	// initialShare is the part of a second's rate that a new owner's bucket starts with, and
+	// initialTokens what it has besides. What a change of owners adds must stay within the slack of the
+	// rule, half a second's rate and 20 requests.
+	initialShare  = 0.1
+	initialTokens = 3
 	// aloneShare is the part of an account's rate that all VMs together admit without its owner; the rule
 	// leaves a tenth above the rate, and its slack.
 	aloneShare = 0.2
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/jacinthproxy/jacinthproxy/internal/logger"
 	"github.com/jacinthproxy/jacinthproxy/internal/messenger"
 	"github.com/jacinthproxy/jacinthproxy/internal/messenger/wire"
 	"github.com/jacinthproxy/jacinthproxy/internal/router"
@@ -93,7 +94,7 @@
 	if c := b.GetConfiguration(); len(c) > 0 {
 		var conf router.Configuration
 		if err := json.Unmarshal(c, &conf); err != nil {
-			r.Logger.Error("configuration of a peer cannot be read", zap.Stringer("peer", from.Address), zap.Error(err))
+			r.Logger.Error("configuration of a peer cannot be read", zap.Stringer("peer", from.Address), logger.Cause(err))
 			return
 		}
 		r.Tracker.Configure(conf)
@@ -102,7 +103,7 @@
 	for _, m := range b.GetRegistrations() {
 		e, err := fromRegistration(now, m)
 		if err != nil {
-			r.Logger.Error("registration of a peer cannot be read", zap.Stringer("peer", from.Address), zap.Error(err))
+			r.Logger.Error("registration of a peer cannot be read", zap.Stringer("peer", from.Address), logger.Cause(err))
 			continue
 		}
 		es = append(es, e)
@@ -111,7 +112,7 @@
 	for _, m := range b.GetMembers() {
 		vm, err := messenger.FromVM(m.GetVm())
 		if err != nil {
-			r.Logger.Error("vm of a peer cannot be read", zap.Stringer("peer", from.Address), zap.Error(err))
+			r.Logger.Error("vm of a peer cannot be read", zap.Stringer("peer", from.Address), logger.Cause(err))
 			continue
 		}
 		if vm.Address != r.Self.Address {
@@ -279,7 +280,7 @@
 	if c.Table != nil {
 		b, err := json.Marshal(c.Table.Configuration)
 		if err != nil {
-			r.Logger.Error("configuration cannot be written", zap.Error(err))
+			r.Logger.Error("configuration cannot be written", logger.Cause(err))
 			rep.ConfigurationKnown = false
 		}
 		rep.Configuration = b
--- a/internal/relayer/loops.go
+++ b/internal/relayer/loops.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/jacinthproxy/jacinthproxy/internal/logger"
 	"github.com/jacinthproxy/jacinthproxy/internal/tracker"
 )
 
@@ -20,7 +21,7 @@
 		if err == nil {
 			return
 		}
-		r.Logger.Warn("vm not announced", zap.Error(err), zap.Duration("pause", pause))
+		r.Logger.Warn("vm not announced", logger.Cause(err), zap.Duration("pause", pause))
 		r.sleep(ctx, jittered(pause))
 	}
 }
@@ -37,12 +38,12 @@
 			continue
 		}
 		err := r.exchange(ctx, l, exchangeWait, false)
-		if err == nil {
-			continue
-		}
-		r.suspect(l.Address, err)
-		if errors.Is(err, errStale) {
+		switch {
+		case errors.Is(err, errStale):
+			r.pass(l.Address)
 			r.sleep(ctx, tick/2)
+		case err != nil:
+			r.suspect(l.Address, err)
 		}
 	}
 }
@@ -183,7 +184,7 @@
 			if away.IsZero() {
 				away = r.Clock.Now()
 			}
-			r.Logger.Warn("store not read", zap.String("what", d.name), zap.Error(err), zap.Duration("pause", pause), zap.Bool("leads", leads))
+			r.Logger.Warn("store not read", zap.String("what", d.name), logger.Cause(err), zap.Duration("pause", pause), zap.Bool("leads", leads))
 			r.sleep(ctx, jittered(pause))
 			pause = min(2*pause, longestPause)
 			continue
--- a/internal/relayer/rates.go
+++ b/internal/relayer/rates.go
@@ -123,7 +123,7 @@
 	now := r.Clock.Now()
 	b := s.owned[account]
 	if b == nil {
-		b = limiter.NewBucket(now, l, limiter.Tokens(initialShare*l.Rate))
+		b = limiter.NewBucket(now, l, limiter.Tokens(initialTokens+initialShare*l.Rate))
 		s.owned[account] = b
 		r.Logger.Info("owning rate", zap.String("account", account), zap.Float64("rate", l.Rate))
 	}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/jacinthproxy/jacinthproxy/internal/logger"
 	"github.com/jacinthproxy/jacinthproxy/internal/messenger/wire"
 	"github.com/jacinthproxy/jacinthproxy/internal/tracker"
 	"github.com/jacinthproxy/jacinthproxy/pkg/balancer"
@@ -46,6 +47,8 @@
 	role tracker.Role
 	// suspects are peers that did not answer, until when they are passed over.
 	suspects map[netip.AddrPort]time.Time
+	// passed are leaders whose beliefs were old, until when others are asked.
+	passed map[netip.AddrPort]time.Time
 	// heard is when each VM of this domain last exchanged with this one.
 	heard map[netip.AddrPort]time.Time
 	// leadsSince is when this VM began to lead its domain; zero while it does not.
@@ -93,7 +96,7 @@
 // New returns a relayer; Run starts it.
 func New(o Options) *Relayer {
 	r := &Relayer{
-		Options: o, suspects: map[netip.AddrPort]time.Time{}, heard: map[netip.AddrPort]time.Time{}, outgoing: box{},
+		Options: o, suspects: map[netip.AddrPort]time.Time{}, passed: map[netip.AddrPort]time.Time{}, heard: map[netip.AddrPort]time.Time{}, outgoing: box{},
 		boxes: map[netip.AddrPort]*mailbox{}, loads: map[netip.AddrPort]load{}, reportCh: make(chan struct{}, 1),
 		known: map[netip.AddrPort]cursor{}, domainsLive: map[string]count{},
 	}
@@ -152,11 +155,30 @@
 	defer r.mu.Unlock()
 	now := r.Clock.Now()
 	if now.After(r.suspects[a]) {
-		r.Logger.Info("peer lost", zap.Stringer("peer", a), zap.Error(why))
+		r.Logger.Info("peer lost", zap.Stringer("peer", a), logger.Cause(why))
 	}
 	r.suspects[a] = now.Add(suspectTime)
 }
 
+// pass makes this VM ask another leader for a while.
+func (r *Relayer) pass(a netip.AddrPort) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Clock.Now()
+	if now.After(r.passed[a]) {
+		r.Logger.Info("leader passed over", zap.Stringer("peer", a), logger.Cause(errStale))
+	}
+	r.passed[a] = now.Add(suspectTime)
+}
+
+// mayLead reports whether this VM would take another as its leader now.
+func (r *Relayer) mayLead(a netip.AddrPort) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Clock.Now()
+	return !now.Before(r.suspects[a]) && !now.Before(r.passed[a])
+}
+
 func (r *Relayer) trust(a netip.AddrPort) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -194,7 +216,7 @@
 // leader returns the VM that reads the store for a domain; ok is false if none is known.
 func (r *Relayer) leader(domain string) (placer.VM, bool) {
 	vs := r.ranked("leader/"+domain, func(m tracker.Member) bool {
-		return m.Domain == domain && (m.Address == r.Self.Address || !r.Suspected(m.Address))
+		return m.Domain == domain && (m.Address == r.Self.Address || r.mayLead(m.Address))
 	})
 	if len(vs) == 0 {
 		return placer.VM{}, false
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"github.com/jacinthproxy/jacinthproxy/internal/forwarder"
+	"github.com/jacinthproxy/jacinthproxy/internal/logger"
 	"github.com/jacinthproxy/jacinthproxy/internal/messenger"
 	"github.com/jacinthproxy/jacinthproxy/internal/picker"
 	"github.com/jacinthproxy/jacinthproxy/internal/receiver"
@@ -123,7 +124,7 @@
 	r.servers = append(r.servers, s)
 	go func() {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			r.Logger.Error("listener ended", zap.Stringer("address", a), zap.Error(err))
+			r.Logger.Error("listener ended", zap.Stringer("address", a), logger.Cause(err))
 		}
 	}()
 	return nil
@@ -189,7 +190,7 @@
 	}
 	r.messenger.Close()
 	g.Wait()
-	r.Logger.Info("stopped", zap.Error(err))
+	r.Logger.Info("stopped", logger.Cause(err))
 	return err
 }
 
--- a/serve.go
+++ b/serve.go
@@ -6,14 +6,11 @@
 	"os"
 	"os/signal"
 	"syscall"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
-	zaplogfmt "github.com/jsternberg/zap-logfmt"
-	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 
+	"github.com/jacinthproxy/jacinthproxy/internal/logger"
 	"github.com/jacinthproxy/jacinthproxy/internal/server"
 	"github.com/jacinthproxy/jacinthproxy/pkg/asserter"
 )
@@ -31,18 +28,19 @@
 	if err != nil {
 		return err
 	}
-	logger, err := newLogger(s.Log.Level)
+	log, flush, err := logger.New(s.Log.Level, os.Stderr)
 	if err != nil {
 		return err
 	}
-	defer func() { _ = logger.Sync() }()
+	defer flush()
 	p, err := server.HTTPPlatform(s.Platform)
 	if err != nil {
 		return err
 	}
-	d, err := server.New(s, p, clockwork.NewRealClock(), logger, func(v asserter.Violation) {
-		logger.Error("guarantee violated", zap.Error(v))
+	d, err := server.New(s, p, clockwork.NewRealClock(), log, func(v asserter.Violation) {
+		log.Error("guarantee violated", logger.Cause(v))
 		if c.Strict {
+			flush()
 			os.Exit(exitViolation)
 		}
 	})
@@ -68,21 +66,6 @@
 	return first, second
 }
 
-// newLogger returns a logger that writes one line of key=value pairs for each event.
-func newLogger(level string) (*zap.Logger, error) {
-	l, err := zapcore.ParseLevel(level)
-	if err != nil {
-		return nil, errors.Wrap(err, "log.level")
-	}
-	ec := zap.NewProductionEncoderConfig()
-	ec.TimeKey, ec.MessageKey = "at", "event"
-	ec.EncodeTime = func(t time.Time, e zapcore.PrimitiveArrayEncoder) {
-		e.AppendString(t.UTC().Format(time.RFC3339Nano))
-	}
-	core := zapcore.NewCore(zaplogfmt.NewEncoder(ec), zapcore.Lock(os.Stderr), l)
-	return zap.New(core), nil
-}
-
 type checkCommand struct {
 	Settings string   `type:"existingfile" help:"Settings file of a daemon."`
 	Document []string `type:"existingfile" help:"Documents of the configuration, one for each team."`
