--- a/internal/relayer/rates.go
+++ b/internal/relayer/rates.go
@@ -20,13 +20,13 @@
 type rates struct {
 	relayer *Relayer
 	mu      sync.Mutex
-	owned   map[string]*limiter.Bucket
+	owned   map[string]*limiter.Window
 	// alone are the buckets used while an account's owner does not answer.
 	alone map[string]*local
 }
 
 func newRates(r *Relayer) *rates {
-	return &rates{relayer: r, owned: map[string]*limiter.Bucket{}, alone: map[string]*local{}}
+	return &rates{relayer: r, owned: map[string]*limiter.Window{}, alone: map[string]*local{}}
 }
 
 // Admission is the verdict on one request of an account.
@@ -123,12 +123,15 @@
 	now := r.Clock.Now()
 	b := s.owned[account]
 	if b == nil {
-		b = limiter.NewBucket(now, l, limiter.Tokens(initialTokens+initialShare*l.Rate))
+		b = limiter.NewWindow(now, r.RateWindow, l, limiter.Tokens(initialTokens+initialShare*l.Rate))
 		s.owned[account] = b
 		r.Logger.Info("owning rate", zap.String("account", account), zap.Float64("rate", l.Rate))
 	}
 	b.SetLimit(now, l)
-	return take(b, now, l, want), nil
+	if n := b.Take(now, want); n > 0 {
+		return &wire.Taken{Tokens: uint32(n)}, nil
+	}
+	return &wire.Taken{NextMs: uint32(b.Next(now).Milliseconds() + 1)}, nil
 }
 
 func limitOf(t *router.Table, account string) (limiter.Limit, bool) {
@@ -140,16 +143,6 @@
 	return limiter.Limit{}, false
 }
 
-func take(b *limiter.Bucket, now time.Time, l limiter.Limit, want int) *wire.Taken {
-	n := min(want, int(b.Level(now)))
-	if n > 0 {
-		b.Take(now, limiter.Tokens(n), nil)
-		return &wire.Taken{Tokens: uint32(n)}
-	}
-	missing := 1 - float64(b.Level(now))
-	return &wire.Taken{NextMs: uint32(min(missing/l.Rate*1000+1, 60_000))}
-}
-
 // local is what a VM needs to go on without the owner of an account.
 type local struct {
 	bucket *limiter.Bucket
@@ -198,5 +191,9 @@
 		l.bucket = limiter.NewBucket(now, limit, aloneBurst)
 	}
 	l.bucket.SetLimit(now, limit)
-	return admission(take(l.bucket, now, limit, 1), "")
+	if l.bucket.Level(now) >= 1 {
+		l.bucket.Take(now, 1, nil)
+		return Admission{Admitted: true}
+	}
+	return Admission{After: time.Duration(float64(1-l.bucket.Level(now)) / limit.Rate * float64(time.Second))}
 }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -29,13 +29,15 @@
 	Self     placer.VM
 	Capacity float64
 	// Seeds are peers to begin with while the store's list is not read.
-	Seeds     []netip.AddrPort
-	Tracker   *tracker.Tracker
-	Messenger Messenger
-	Source    Source
-	Hearer    Hearer
-	Clock     clockwork.Clock
-	Logger    *zap.Logger
+	Seeds []netip.AddrPort
+	// RateWindow is the span over which the rates of accounts hold.
+	RateWindow time.Duration
+	Tracker    *tracker.Tracker
+	Messenger  Messenger
+	Source     Source
+	Hearer     Hearer
+	Clock      clockwork.Clock
+	Logger     *zap.Logger
 }
 
 // Relayer exchanges beliefs with peers.
--- a/internal/runner/settings.go
+++ b/internal/runner/settings.go
@@ -34,6 +34,8 @@
 	// RetryRatio and RetrySlack bound the requests that are sent once more, within RetryWindow.
 	RetryRatio, RetrySlack float64
 	RetryWindow            time.Duration
+	// RateWindow is the span over which the rates of accounts hold.
+	RateWindow time.Duration
 	// MaxAddressLife is the longest time that callers keep a list of addresses.
 	MaxAddressLife time.Duration
 }
@@ -42,6 +44,6 @@
 func DefaultBounds() Bounds {
 	return Bounds{
 		KeyAge: 5 * time.Second, StopGrace: 6 * time.Second, RetryRatio: 0.2, RetrySlack: 50,
-		RetryWindow: 10 * time.Second, MaxAddressLife: 5 * time.Second,
+		RetryWindow: 10 * time.Second, RateWindow: 5 * time.Second, MaxAddressLife: 5 * time.Second,
 	}
 }
