--- a/pkg/limiter/window.go
+++ b/pkg/limiter/window.go
@@ -45,11 +45,22 @@
 	return Limit{Rate: l.Rate + float64(l.Burst)/w.span.Seconds(), Burst: max(1, l.Burst)}
 }
 
-// SetLimit changes the limit from now on.
+// SetLimit changes the limit from now on. What was given by a higher limit counts in proportion, so that
+// an account is not refused everything for a span because it used what it had.
 func (w *Window) SetLimit(now time.Time, l Limit) {
-	if l != w.limit {
-		w.limit = l
-		w.bucket.SetLimit(now, w.spread(l))
+	if l == w.limit {
+		return
+	}
+	w.advance(now)
+	before := w.most()
+	w.limit = l
+	w.bucket.SetLimit(now, w.spread(l))
+	if after := w.most(); after < before {
+		w.sum = 0
+		for i := range w.given {
+			w.given[i] *= after / before
+			w.sum += w.given[i]
+		}
 	}
 }
 
--- a/pkg/limiter/window_test.go
+++ b/pkg/limiter/window_test.go
@@ -99,3 +99,20 @@
 		}
 	})
 }
+
+// TestLowerLimitServesFromTheStart lowers the limit of an account that used all it had.
+func TestLowerLimitServesFromTheStart(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	w := limiter.NewWindow(now, span, limiter.Limit{Rate: 100, Burst: 100}, 100)
+	serve := func(d time.Duration) (n int) {
+		for end := now.Add(d); now.Before(end); now = now.Add(time.Millisecond) {
+			n += w.Take(now, 1)
+		}
+		return n
+	}
+	serve(10 * time.Second)
+	w.SetLimit(now, limiter.Limit{Rate: 10, Burst: 10})
+	require.GreaterOrEqual(t, serve(time.Second), 8)
+	serve(10 * time.Second)
+	require.LessOrEqual(t, serve(span), 60)
+}
