Give every instance a request now and then; end the listener at a stop

Now an instance of which nothing was heard for 0.5 s is tried out by the next idempotent requests, and what is known of slowness fades.

A stop hung until the process was killed: http.Server.Shutdown waits for Accept, which the frontend's handover never ended.

--- /dev/null
+++ b/internal/emulator/instance.go
@@ -0,0 +1,156 @@
+package emulator
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Run is one request that an instance got.
+type Run struct {
+	ID, Method, Target, Account, Key, Deadline, Body string
+}
+
+// Behavior is how an instance treats a request whose head and body it has read.
+type Behavior func(c net.Conn, r *http.Request, i *Instance)
+
+// Instance is a stand-in for one instance of a service.
+type Instance struct {
+	ID       string
+	listener net.Listener
+
+	mu       sync.Mutex
+	behavior Behavior
+	runs     []Run
+	rejected int
+}
+
+// NewInstance starts an instance on a loopback address.
+func NewInstance(id string) (*Instance, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "instance")
+	}
+	i := &Instance{ID: id, listener: l, behavior: Answer}
+	go i.serve()
+	return i, nil
+}
+
+// Address returns where the instance listens.
+func (i *Instance) Address() netip.AddrPort { return netip.MustParseAddrPort(i.listener.Addr().String()) }
+
+// Close stops the instance.
+func (i *Instance) Close() { _ = i.listener.Close() }
+
+// Behave sets how the instance treats requests from now on.
+func (i *Instance) Behave(b Behavior) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.behavior = b
+}
+
+// Runs returns the requests that the instance ran.
+func (i *Instance) Runs() []Run {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return append([]Run(nil), i.runs...)
+}
+
+func (i *Instance) serve() {
+	for {
+		c, err := i.listener.Accept()
+		if err != nil {
+			return
+		}
+		go i.connection(c)
+	}
+}
+
+func (i *Instance) connection(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return
+		}
+		if e := req.Header.Get("Expected-Instance"); e != "" && e != i.ID {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", i.ID)
+			continue
+		}
+		i.mu.Lock()
+		b := i.behavior
+		i.runs = append(i.runs, Run{
+			ID: req.Header.Get("Request-Id"), Method: req.Method, Target: req.RequestURI, Account: req.Header.Get("Tenant"),
+			Key: req.Header.Get("X-Api-Key"), Deadline: req.Header.Get("Deadline-Ms"), Body: string(body),
+		})
+		i.mu.Unlock()
+		b(c, req, i)
+	}
+}
+
+// withdraw takes back that the last request ran.
+func (i *Instance) withdraw() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.runs = i.runs[:len(i.runs)-1]
+	i.rejected++
+}
+
+// Write sends an answer with a signature.
+func Write(c net.Conn, id string, status int, body string) {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 %d X\r\nRequest-Id: %s\r\nServer-Signature: sig-%s\r\nContent-Length: %d\r\n\r\n%s",
+		status, id, id, len(body), body)
+}
+
+// Answer answers well, with the instance's name.
+func Answer(c net.Conn, r *http.Request, i *Instance) {
+	Write(c, r.Header.Get("Request-Id"), http.StatusOK, "from "+i.ID)
+}
+
+// Fail answers with the instance's own error.
+func Fail(c net.Conn, r *http.Request, _ *Instance) {
+	Write(c, r.Header.Get("Request-Id"), http.StatusInternalServerError, "failed")
+}
+
+// Shed refuses without running the request.
+func Shed(c net.Conn, _ *http.Request, i *Instance) {
+	i.withdraw()
+	_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+}
+
+// Reset runs the request and resets the connection.
+func Reset(c net.Conn, _ *http.Request, _ *Instance) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+// Hang runs the request and never answers.
+func Hang(c net.Conn, _ *http.Request, _ *Instance) {
+	_, _ = c.Read(make([]byte, 1))
+	_ = c.Close()
+}
+
+// Cut runs the request and breaks its answer off.
+func Cut(c net.Conn, r *http.Request, _ *Instance) {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Signature: s\r\nContent-Length: 100\r\n\r\nhalf", r.Header.Get("Request-Id"))
+	_ = c.Close()
+}
+
+// Twice answers, and sends a second copy of the answer on the same connection.
+func Twice(c net.Conn, r *http.Request, i *Instance) {
+	Answer(c, r, i)
+	Answer(c, r, i)
+}
--- /dev/null
+++ b/internal/emulator/store.go
@@ -0,0 +1,225 @@
+package emulator
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// record is one entry of a topic.
+type record struct {
+	key   string
+	value []byte
+	raw   []byte
+}
+
+// topic is one partition of records, of which those before first are forgotten.
+type topic struct {
+	records []record
+	first   int
+	newest  map[string]int
+}
+
+// Store is a stand-in for the platform's metadata store.
+type Store struct {
+	// PageSize is how many keys one listing returns.
+	PageSize int
+
+	mu      sync.Mutex
+	topics  map[string]*topic
+	changed chan struct{}
+	// fail answers in place of the store, if it is set.
+	fail  func(w http.ResponseWriter, r *http.Request) bool
+	calls map[string]int
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{PageSize: 500, topics: map[string]*topic{}, changed: make(chan struct{}), calls: map[string]int{}}
+}
+
+// Fail sets a function that may answer calls in place of the store, reporting whether it did; nil ends that.
+func (s *Store) Fail(f func(w http.ResponseWriter, r *http.Request) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fail = f
+	s.wake()
+}
+
+// Busy answers that nothing was done.
+func Busy(w http.ResponseWriter, _ *http.Request) bool {
+	w.WriteHeader(http.StatusServiceUnavailable)
+	return true
+}
+
+// Silent answers nothing until the caller gives up.
+func Silent(_ http.ResponseWriter, r *http.Request) bool {
+	<-r.Context().Done()
+	panic(http.ErrAbortHandler)
+}
+
+// Calls returns how many calls of a name were made.
+func (s *Store) Calls(name string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[name]
+}
+
+// Forget drops the records of a topic; the newest of each key stay.
+func (s *Store) Forget(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	t.first = len(t.records)
+}
+
+// Put writes the value of a key; nil drops the key.
+func (s *Store) Put(name, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.append(name, key, value)
+}
+
+func (s *Store) topic(name string) *topic {
+	t := s.topics[name]
+	if t == nil {
+		t = &topic{newest: map[string]int{}}
+		s.topics[name] = t
+	}
+	return t
+}
+
+func (s *Store) append(name, key string, value []byte) {
+	t := s.topic(name)
+	raw := append([]byte{byte(len(key))}, key...)
+	t.records = append(t.records, record{key, value, append(raw, value...)})
+	t.newest[key] = len(t.records) - 1
+	if len(value) == 0 {
+		delete(t.newest, key)
+	}
+	s.wake()
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// ServeHTTP answers the calls of the store's protocol.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	name := r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:]
+	s.mu.Lock()
+	s.calls[name]++
+	fail := s.fail
+	s.mu.Unlock()
+	if fail != nil && fail(w, r) {
+		return
+	}
+	switch name {
+	case "log-append":
+		s.serveAppend(w, r)
+	case "log-read":
+		s.serveRead(w, r)
+	case "log-newest":
+		s.serveNewest(w, r)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func (s *Store) serveAppend(w http.ResponseWriter, r *http.Request) {
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	name := r.URL.Query().Get("Topic")
+	offset := len(s.topic(name).records)
+	for len(b) >= 4 {
+		n := int(binary.BigEndian.Uint32(b))
+		rec := b[4 : 4+n]
+		b = b[4+n:]
+		k := int(rec[0])
+		s.append(name, string(rec[1:1+k]), slices.Clone(rec[1+k:]))
+	}
+	writeJSON(w, map[string]int{"Offset": offset, "End": len(s.topic(name).records)})
+}
+
+func (s *Store) serveRead(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	from, _ := strconv.Atoi(q.Get("From"))
+	ms, _ := strconv.Atoi(q.Get("WaitMs"))
+	deadline := time.After(time.Duration(ms) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		t, changed, fail := s.topic(q.Get("Topic")), s.changed, s.fail
+		if from < t.first {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			writeJSON(w, map[string]int{"First": t.first})
+			return
+		}
+		if from < len(t.records) || ms == 0 {
+			b := binary.BigEndian.AppendUint64(nil, uint64(len(t.records)))
+			b = binary.BigEndian.AppendUint64(b, uint64(t.first))
+			for _, rec := range t.records[min(from, len(t.records)):] {
+				b = binary.BigEndian.AppendUint32(b, uint32(len(rec.raw)))
+				b = append(b, rec.raw...)
+			}
+			s.mu.Unlock()
+			_, _ = w.Write(b) // The caller may have left.
+			return
+		}
+		s.mu.Unlock()
+		if fail != nil && fail(w, r) {
+			return
+		}
+		select {
+		case <-deadline:
+			ms = 0
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Store) serveNewest(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(q.Get("Topic"))
+	var keys []string
+	for k := range t.newest {
+		if k > q.Get("after") {
+			keys = append(keys, k)
+		}
+	}
+	slices.Sort(keys)
+	type item struct {
+		Key    string
+		Value  []byte
+		Offset int
+	}
+	page := struct {
+		Items   []item `json:"items"`
+		HasMore bool
+		End     int
+	}{HasMore: len(keys) > s.PageSize, End: len(t.records)}
+	for _, k := range keys[:min(len(keys), s.PageSize)] {
+		page.Items = append(page.Items, item{k, t.records[t.newest[k]].value, t.newest[k]})
+	}
+	writeJSON(w, page)
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v) // The caller may have left.
+}
--- /dev/null
+++ b/internal/forwarder/forwarder_test.go
@@ -0,0 +1,165 @@
+package forwarder_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/jacinthproxy/jacinthproxy/internal/emulator"
+	"github.com/jacinthproxy/jacinthproxy/internal/forwarder"
+)
+
+func newForwarder() *forwarder.Forwarder {
+	h := forwarder.Headers{RequestID: "Request-Id", Signature: "Server-Signature", NotRun: "Not-Executed", InstanceID: "Instance-Id"}
+	return forwarder.New(h, 10, clockwork.NewRealClock())
+}
+
+func newInstance(t *testing.T, b emulator.Behavior) *emulator.Instance {
+	i, err := emulator.NewInstance("i-1")
+	require.NoError(t, err)
+	t.Cleanup(i.Close)
+	i.Behave(b)
+	return i
+}
+
+func request(id string) forwarder.Request {
+	return forwarder.Request{ID: id, Method: http.MethodPost, Target: "/a%2Fb?x=1", Host: "h.example", Header: http.Header{"Request-Id": {id}}}
+}
+
+const rested = 5 * time.Second
+
+func TestSendLeavesTheRequestUnchanged(t *testing.T) {
+	i := newInstance(t, emulator.Answer)
+	f := newForwarder()
+	r := request("1")
+	r.Body, r.Length = []byte("body"), 4
+	a, err := f.Send(t.Context(), i.Address(), r, rested)
+	require.NoError(t, err)
+	require.Equal(t, "from i-1", string(a.Body))
+	require.True(t, a.Signed)
+	require.Equal(t, []emulator.Run{{ID: "1", Method: "POST", Target: "/a%2Fb?x=1", Body: "body"}}, i.Runs())
+}
+
+func TestLongBodyOfUnknownLength(t *testing.T) {
+	i := newInstance(t, emulator.Answer)
+	r := request("1")
+	long := strings.Repeat("x", 300_000)
+	r.Body, r.More, r.Chunked, r.Length = []byte(long[:1000]), strings.NewReader(long[1000:]), true, -1
+	_, err := newForwarder().Send(t.Context(), i.Address(), r, rested)
+	require.NoError(t, err)
+	require.Equal(t, long, i.Runs()[0].Body)
+}
+
+// TestNothingIsSentTwice resets a request on a kept connection, where the transport of net/http would
+// send it again.
+func TestNothingIsSentTwice(t *testing.T) {
+	i := newInstance(t, emulator.Answer)
+	f := newForwarder()
+	_, err := f.Send(t.Context(), i.Address(), request("1"), rested)
+	require.NoError(t, err)
+	i.Behave(emulator.Reset)
+	r := request("2")
+	r.Method = http.MethodGet
+	_, err = f.Send(t.Context(), i.Address(), r, rested)
+	require.Error(t, err)
+	require.False(t, errors.Is(err, forwarder.ErrNotSent))
+	require.Len(t, i.Runs(), 2)
+	opened, _ := f.Stats()
+	require.EqualValues(t, 1, opened)
+}
+
+func TestUnreachableWasNotSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	a := netip.MustParseAddrPort(l.Addr().String())
+	require.NoError(t, l.Close())
+	_, err = newForwarder().Send(t.Context(), a, request("1"), rested)
+	require.True(t, errors.Is(err, forwarder.ErrNotSent))
+}
+
+func TestCutAnswerIsAnError(t *testing.T) {
+	i := newInstance(t, emulator.Cut)
+	_, err := newForwarder().Send(t.Context(), i.Address(), request("1"), rested)
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+}
+
+// TestSecondCopyAnswersNobody sends further requests after an answer came twice.
+func TestSecondCopyAnswersNobody(t *testing.T) {
+	i := newInstance(t, emulator.Twice)
+	f := newForwarder()
+	for _, id := range []string{"1", "2", "3", "4"} {
+		a, err := f.Send(t.Context(), i.Address(), request(id), rested)
+		require.NoError(t, err)
+		require.Equal(t, id, a.Header.Get("Request-Id"))
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	i := newInstance(t, emulator.Shed)
+	f := newForwarder()
+	a, err := f.Send(t.Context(), i.Address(), request("1"), rested)
+	require.NoError(t, err)
+	require.True(t, a.NotRun)
+	_, kept := f.Stats()
+	require.Zero(t, kept, "an answer without an id might be a copy: nothing may follow it")
+	r := request("2")
+	r.Header.Set("Expected-Instance", "i-2")
+	a, err = f.Send(t.Context(), i.Address(), r, rested)
+	require.NoError(t, err)
+	require.True(t, a.NotRun)
+	require.Equal(t, http.StatusMisdirectedRequest, a.Status)
+	require.Empty(t, i.Runs())
+}
+
+func TestCancelEndsTheConnection(t *testing.T) {
+	i := newInstance(t, nil)
+	got, gone := make(chan struct{}), make(chan struct{})
+	i.Behave(func(c net.Conn, _ *http.Request, _ *emulator.Instance) {
+		close(got)
+		_, _ = c.Read(make([]byte, 1))
+		close(gone)
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	failed := make(chan error, 1)
+	go func() {
+		_, err := newForwarder().Send(ctx, i.Address(), request("1"), rested)
+		failed <- err
+	}()
+	<-got
+	cancel()
+	require.True(t, errors.Is(<-failed, context.Canceled))
+	<-gone
+}
+
+// TestRestedConnectionsAreNotTrusted takes a new connection for what must not be lost on an old one.
+func TestRestedConnectionsAreNotTrusted(t *testing.T) {
+	i := newInstance(t, emulator.Answer)
+	clock := clockwork.NewFakeClock()
+	f := forwarder.New(forwarder.Headers{RequestID: "Request-Id"}, 10, clock)
+	send := func(id string, rest time.Duration) {
+		_, err := f.Send(t.Context(), i.Address(), request(id), rest)
+		require.NoError(t, err)
+	}
+	send("1", time.Second)
+	clock.Advance(2 * time.Second)
+	send("2", time.Second)
+	opened, _ := f.Stats()
+	require.EqualValues(t, 2, opened)
+	clock.Advance(2 * time.Second)
+	send("3", 3*time.Second)
+	opened, kept := f.Stats()
+	require.EqualValues(t, 2, opened)
+	require.Equal(t, 2, kept)
+	f.Keep(func(netip.AddrPort) bool { return false })
+	_, kept = f.Stats()
+	require.Zero(t, kept)
+}
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -90,7 +90,7 @@
 	}
 	p.home, p.addresses = map[string]*service{}, map[netip.AddrPort]bool{}
 	for n, s := range p.services {
-		s.balancer.Set(by[n])
+		s.balancer.Set(p.Clock.Now(), by[n])
 		for _, i := range by[n] {
 			p.home[i.ID] = s
 			p.addresses[i.Address] = true
@@ -215,3 +215,14 @@
 	}
 	return js
 }
+
+// RetriesLeft returns how many retries this VM's share of the budget still has, by service.
+func (p *Picker) RetriesLeft() map[string]float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	left := make(map[string]float64, len(p.services))
+	for n, s := range p.services {
+		left[n] = s.budget.Left()
+	}
+	return left
+}
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -146,7 +146,7 @@
 	for _, l := range b.GetLoads() {
 		running[l.GetInstance()] = int(l.GetRunning())
 	}
-	if !r.leads() {
+	if !r.Leads() {
 		r.Hearer.Hear(sightings(b.GetSeen()))
 		r.Hearer.Others(running)
 		return
@@ -355,7 +355,7 @@
 		}
 	}
 	live := uint32(1)
-	if r.leads() {
+	if r.Leads() {
 		_, live = r.live()
 	} else {
 		r.mu.Lock()
--- a/internal/relayer/loops.go
+++ b/internal/relayer/loops.go
@@ -59,7 +59,7 @@
 	}()
 	for ; ctx.Err() == nil; r.sleep(ctx, tick) {
 		now := r.Clock.Now()
-		leads := r.leads()
+		leads := r.Leads()
 		r.note(leads)
 		domains := map[string]bool{}
 		for _, m := range r.Tracker.Members() {
@@ -165,7 +165,7 @@
 	pause := firstPause
 	away := time.Time{}
 	for ctx.Err() == nil {
-		leads := r.leads()
+		leads := r.Leads()
 		if a, ok := d.age(); !leads && ok && a < threshold {
 			r.sleep(ctx, min(threshold-a+time.Millisecond, tick))
 			continue
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -226,8 +226,8 @@
 	return vs[0], true
 }
 
-// leads reports whether this VM leads its domain.
-func (r *Relayer) leads() bool {
+// Leads reports whether this VM leads its domain.
+func (r *Relayer) Leads() bool {
 	l, ok := r.leader(r.Self.Domain)
 	return !ok || l.Address == r.Self.Address
 }
--- a/internal/runner/listener.go
+++ b/internal/runner/listener.go
@@ -29,6 +29,9 @@
 	http.Server
 	limits router.Limits
 	conns  chan net.Conn
+	// closed ends the wait for connections.
+	closed chan struct{}
+	once   sync.Once
 }
 
 func newFrontend(l net.Listener, h http.Handler, limits func() router.Limits) *frontend {
@@ -45,7 +48,12 @@
 		if err != nil {
 			return errors.Wrap(err, "callers' listener")
 		}
-		f.server().conns <- c
+		s := f.server()
+		select {
+		case s.conns <- c:
+		case <-s.closed:
+			_ = c.Close()
+		}
 	}
 }
 
@@ -63,7 +71,7 @@
 			// What net/http writes there are callers that break off; requests are logged by the receiver.
 			ErrorLog: log.New(io.Discard, "", 0),
 		},
-		limits: l, conns: make(chan net.Conn),
+		limits: l, conns: make(chan net.Conn), closed: make(chan struct{}),
 	}
 	f.current = s
 	f.all = append(f.all, s)
@@ -90,15 +98,19 @@
 
 // Accept returns the next connection.
 func (h handover) Accept() (net.Conn, error) {
-	c, ok := <-h.server.conns
-	if !ok {
+	select {
+	case c := <-h.server.conns:
+		return c, nil
+	case <-h.server.closed:
 		return nil, net.ErrClosed
 	}
-	return c, nil
 }
 
-// Close does nothing: the frontend owns the listener.
-func (h handover) Close() error { return nil }
+// Close ends Accept; the listener itself is the frontend's.
+func (h handover) Close() error {
+	h.server.once.Do(func() { close(h.server.closed) })
+	return nil
+}
 
 // Addr returns the callers' address.
 func (h handover) Addr() net.Addr { return h.addr }
--- /dev/null
+++ b/internal/runner/operators.go
@@ -0,0 +1,92 @@
+package runner
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/jacinthproxy/jacinthproxy/internal/tracker"
+	"github.com/jacinthproxy/jacinthproxy/pkg/balancer"
+)
+
+// The paths on the operators' address.
+const (
+	pathDump    = "/dump"
+	pathMetrics = "/metrics"
+)
+
+// state is what a dump shows: the beliefs of a daemon and their age.
+type state struct {
+	VM               string                          `json:"vm"`
+	Role             tracker.Role                    `json:"role"`
+	Leads            bool                            `json:"leads"`
+	Version          int64                           `json:"version"`
+	ConfigurationAge time.Duration                   `json:"configurationAgeNs"`
+	InstancesAge     time.Duration                   `json:"instancesAgeNs"`
+	Members          []tracker.Member                `json:"members"`
+	Instances        []tracker.Entry                 `json:"instances"`
+	Judgements       map[string][]balancer.Judgement `json:"judgements"`
+	RetriesLeft      map[string]float64              `json:"retriesLeft"`
+	Requests         map[string]int64                `json:"requests"`
+}
+
+func (r *Runner) state() state {
+	s := state{
+		VM: r.Settings.Name, Role: r.relayer.Role(), Leads: r.relayer.Leads(), Members: r.tracker.Members(),
+		Instances: r.tracker.Entries(), Judgements: r.picker.Judgements(), RetriesLeft: r.picker.RetriesLeft(),
+		Requests: r.metrics.summary(),
+	}
+	s.ConfigurationAge, s.InstancesAge = r.tracker.Ages()
+	if t, _ := r.tracker.Table(); t != nil {
+		s.Version = t.Version
+	}
+	return s
+}
+
+// operators returns the handler of the operators' address.
+func (r *Runner) operators() http.Handler {
+	e := echo.New()
+	e.HideBanner = true
+	e.GET(pathDump, func(c echo.Context) error { return c.JSONPretty(http.StatusOK, r.state(), "  ") })
+	e.GET(pathMetrics, echo.WrapHandler(r.metrics.handler()))
+	return e
+}
+
+// gauges returns what the metrics show of a daemon's beliefs.
+func (r *Runner) gauges() map[string]gauge {
+	return map[string]gauge{
+		"configuration_age_seconds": {"Time since the read began that confirmed the configuration.", func() float64 {
+			a, _ := r.tracker.Ages()
+			return a.Seconds()
+		}},
+		"instances_age_seconds": {"Time since the read began that confirmed the instances.", func() float64 {
+			_, a := r.tracker.Ages()
+			return a.Seconds()
+		}},
+		"usable_instances": {"Instances that may get requests.", func() float64 { return float64(len(r.tracker.Usable())) }},
+		"ready_vms": {"VMs that serve callers, as this one knows.", func() float64 {
+			n := 0
+			for _, m := range r.tracker.Members() {
+				if m.Role == tracker.RoleReady {
+					n++
+				}
+			}
+			return float64(n)
+		}},
+		"leads": {"Whether this VM reads the store for its failure domain.", func() float64 {
+			if r.relayer.Leads() {
+				return 1
+			}
+			return 0
+		}},
+		"instance_connections_opened": {"Connections to instances since the start.", func() float64 {
+			n, _ := r.forwarder.Stats()
+			return float64(n)
+		}},
+		"instance_connections_kept": {"Connections to instances that wait for a request.", func() float64 {
+			_, n := r.forwarder.Stats()
+			return float64(n)
+		}},
+	}
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -65,7 +65,11 @@
 	s := o.Settings
 	debug.SetGCPercent(collectorPercent)
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory)))
-	r := &Runner{Options: o, tracker: tracker.New(o.Clock, o.Logger), metrics: newMetrics()}
+	m, err := newMetrics()
+	if err != nil {
+		return nil, err
+	}
+	r := &Runner{Options: o, tracker: tracker.New(o.Clock, o.Logger), metrics: m}
 	r.picker = picker.New(picker.Options{
 		Domain: s.Domain, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Clock: o.Clock,
 		RetryRatio: s.Bounds.RetryRatio, RetrySlack: s.Bounds.RetrySlack, VMs: func() int { return len(r.tracker.Members()) },
@@ -83,7 +87,7 @@
 	})
 	r.relayer.SetMessenger(r.messenger)
 	r.forwarder = forwarder.New(o.Dialect.Headers, int(idleShare*float64(s.Descriptors)), o.Clock)
-	return r, r.listen()
+	return r, errors.CombineErrors(m.observe(r.gauges()), r.listen())
 }
 
 // listen opens the daemon's addresses.
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -18,11 +18,14 @@
 	minEvidence = -2.0
 	// fadeTime is the half-life of evidence: troubles of this platform last some seconds.
 	fadeTime = 3 * time.Second
-	// trialShare is the chance that an idempotent request tries out a suspect.
-	trialShare = 0.1
-	// maxExcluded is the share of a service's instances that suspicion may take out of use. The
-	// rule allows 0.3 of the sound ones; suspects get trials besides, which count as use.
-	maxExcluded = 0.35
+	// trialAfter is how long nothing may be heard of an instance, suspected or just not chosen, until
+	// idempotent requests try it out. A sound instance must not be without requests for 2 s.
+	trialAfter = 500 * time.Millisecond
+	// trialShare is the chance that an idempotent request is used for a trial that is due. It keeps the
+	// VMs from trying the same instance at once.
+	trialShare = 0.35
+	// maxExcluded is the share of a service's instances that suspicion may take out of use.
+	maxExcluded = 0.3
 	// crossing is the expected wait, in service times, that staying in the failure domain is worth.
 	crossing = 0.6
 	// warming is the expected extra wait, in service times, at an instance that has just started.
@@ -61,6 +64,8 @@
 	// relative is the moving average of its latencies, each as a multiple of what its route usually takes.
 	relative float64
 	trials   int
+	// seenAt is when something was last sent to or heard of it.
+	seenAt time.Time
 }
 
 // Balancer chooses among the instances of one service.
@@ -77,13 +82,13 @@
 }
 
 // Set replaces the instances that may be used; what is known of those that stay is kept.
-func (b *Balancer) Set(is []Instance) {
+func (b *Balancer) Set(now time.Time, is []Instance) {
 	next := make(map[string]*state, len(is))
 	b.order = b.order[:0]
 	for _, i := range is {
 		s := b.instances[i.ID]
 		if s == nil || s.Address != i.Address {
-			s = &state{relative: 1}
+			s = &state{relative: 1, at: now, seenAt: now}
 		}
 		s.Instance = i
 		next[i.ID] = s
@@ -116,7 +121,7 @@
 func (b *Balancer) Pick(now time.Time, w Want) (Choice, bool) {
 	suspects := b.suspects(now)
 	if w.Idempotent && len(w.Tried) == 0 {
-		if s := b.trial(suspects); s != nil {
+		if s := b.trial(now); s != nil {
 			return b.take(now, s, true), true
 		}
 	}
@@ -143,22 +148,26 @@
 func (b *Balancer) take(now time.Time, s *state, trial bool) Choice {
 	c := Choice{Instance: s.Instance, Evidence: s.evidence, Load: s.load(now), Trial: trial}
 	s.running++
+	s.seenAt = now
 	if trial {
 		s.trials++
 	}
 	return c
 }
 
-// trial returns a suspect that an idempotent request shall try out, or nil.
-func (b *Balancer) trial(suspects []*state) *state {
-	if len(suspects) == 0 || b.random.Float64() >= trialShare*math.Sqrt(float64(len(suspects))) {
-		return nil
+// trial returns an instance that an idempotent request shall try out, the one that was not heard of for
+// longest, or nil.
+func (b *Balancer) trial(now time.Time) *state {
+	var oldest *state
+	for _, s := range b.order {
+		if s.trials == 0 && now.Sub(s.seenAt) > trialAfter && (oldest == nil || s.seenAt.Before(oldest.seenAt)) {
+			oldest = s
+		}
 	}
-	s := suspects[b.random.IntN(len(suspects))]
-	if s.trials > 0 {
+	if oldest == nil || b.random.Float64() >= trialShare {
 		return nil
 	}
-	return s
+	return oldest
 }
 
 // suspects returns the instances that suspicion takes out of use, the worst ones if they are too many.
@@ -200,7 +209,9 @@
 
 func (s *state) fade(now time.Time) {
 	if d := now.Sub(s.at); d > 0 {
-		s.evidence *= math.Exp2(-d.Seconds() / fadeTime.Seconds())
+		f := math.Exp2(-d.Seconds() / fadeTime.Seconds())
+		s.evidence *= f
+		s.relative = 1 + (s.relative-1)*f
 		s.at = now
 	}
 }
@@ -273,6 +284,7 @@
 
 func (s *state) observe(now time.Time, r float64) {
 	s.fade(now)
+	s.seenAt = now
 	s.evidence = max(minEvidence, min(maxEvidence, s.evidence+r))
 }
 
