--- a/internal/relayer/constants.go
+++ b/internal/relayer/constants.go
@@ -37,8 +37,9 @@
 	longestPause = time.Second
 	// tick is how often the roles are looked at.
 	tick = 100 * time.Millisecond
-	// takeTimeout bounds the wait for tokens: twice across failure domains takes 4 ms.
-	takeTimeout = 80 * time.Millisecond
+	// takeTimeout bounds the wait for tokens. Twice across failure domains takes 4 ms, but an owner whose
+	// processor share is used up stands still for up to a tenth of a second.
+	takeTimeout = 250 * time.Millisecond
 	// tokenWait is how long a request may wait for a token, if there will be one by then.
 	tokenWait = 120 * time.Millisecond
 	// initialShare is the part of a second's rate that a new owner's bucket starts with, and
@@ -46,6 +47,12 @@
 	// rule, half a second's rate and 20 requests.
 	initialShare  = 0.1
 	initialTokens = 3
+	// freshAge is how long ago nearly all VMs must have started for the fleet to count as started anew, and
+	// freshShare how many are nearly all. No owner granted anything just before, so a new one begins
+	// with freshTokens seconds of the rate: callers waited for the fleet, and come at once.
+	freshAge    = 4 * time.Second
+	freshShare  = 0.9
+	freshTokens = 1.0
 	// aloneShare is the part of an account's rate that all VMs together admit without its owner; the rule
 	// leaves a tenth above the rate, and its slack.
 	aloneShare = 0.15
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -347,6 +347,9 @@
 
 // together returns the part of the fleet that this VM is in touch with, through its leader or as one.
 func (r *Relayer) together() float64 {
+	if r.fleetFresh() {
+		return 1
+	}
 	known := 0
 	now := r.Clock.Now()
 	for _, m := range r.Tracker.Members() {
--- a/internal/relayer/rates.go
+++ b/internal/relayer/rates.go
@@ -124,7 +124,11 @@
 	now := r.Clock.Now()
 	b := s.owned[account]
 	if b == nil {
-		b = limiter.NewWindow(now, r.RateWindow, l, limiter.Tokens(initialTokens+initialShare*l.Rate))
+		initial := initialShare
+		if r.fleetFresh() {
+			initial = freshTokens
+		}
+		b = limiter.NewWindow(now, r.RateWindow, l, limiter.Tokens(initialTokens+initial*l.Rate))
 		s.owned[account] = b
 		r.Logger.Info("owning rate", zap.String("account", account), zap.Float64("rate", l.Rate))
 	}
@@ -135,6 +139,19 @@
 	return &wire.Taken{NextMs: uint32(b.Next(now, share).Milliseconds() + 1)}, nil
 }
 
+// fleetFresh reports whether nearly all VMs started just now.
+func (r *Relayer) fleetFresh() bool {
+	ms := r.Tracker.Members()
+	young := 0
+	after := r.Clock.Now().Add(-freshAge)
+	for _, m := range ms {
+		if m.Incarnation > placer.NewIncarnation(after) {
+			young++
+		}
+	}
+	return float64(young) >= freshShare*float64(len(ms))
+}
+
 func limitOf(t *router.Table, account string) (limiter.Limit, bool) {
 	for i := range t.Accounts {
 		if a := &t.Accounts[i]; a.Name == account {
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -198,3 +198,22 @@
 	}
 	require.Len(t, owners, 1)
 }
+
+// TestFleetThatStartedAnewServesAtOnce loses the power of all VMs: what waited for them is not refused.
+func TestFleetThatStartedAnewServesAtOnce(t *testing.T) {
+	f := newFleet(20, 40)
+	for i := range f.members {
+		m := f.members[i]
+		m.Incarnation = placer.NewIncarnation(f.clock.Now())
+		for _, tr := range f.trackers {
+			tr.Meet(m)
+		}
+	}
+	served := 0
+	for i := range 40 {
+		if f.admit(i % 20) {
+			served++
+		}
+	}
+	require.GreaterOrEqual(t, served, 40)
+}
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -19,11 +19,14 @@
 	// fadeTime is the half-life of evidence: troubles of this platform last some seconds.
 	fadeTime = 3 * time.Second
 	// trialAfter is how long nothing may be heard of an instance, suspected or just not chosen, until
-	// idempotent requests try it out. A sound instance must not be without requests for 2 s.
-	trialAfter = 500 * time.Millisecond
+	// idempotent requests of its failure domain try it out. A sound instance must not be without
+	// requests for 2 s.
+	trialAfter = 700 * time.Millisecond
+	// farTrialAfter is the same for requests of other domains, whose reports take longer.
+	farTrialAfter = time.Second
 	// trialShare is the chance that an idempotent request is used for a trial that is due. It keeps the
 	// VMs from trying the same instance at once.
-	trialShare = 0.35
+	trialShare = 0.4
 	// maxExcluded is the share of a service's instances that suspicion may take out of use.
 	maxExcluded = 0.3
 	// crossing is the expected wait, in service times, that staying in the failure domain is worth.
@@ -74,6 +77,8 @@
 	random    *rand.Rand
 	instances map[string]*state
 	order     []*state
+	// due is the memory of trial.
+	due []*state
 }
 
 // New returns a balancer for a process in a failure domain.
@@ -155,19 +160,30 @@
 	return c
 }
 
-// trial returns an instance that an idempotent request shall try out, the one that was not heard of for
-// longest, or nil.
+// trial returns an instance that an idempotent request shall try out, or nil. It is the older of two that
+// are due, so that VMs with the same view don't all try the same one.
 func (b *Balancer) trial(now time.Time) *state {
-	var oldest *state
+	if b.random.Float64() >= trialShare {
+		return nil
+	}
+	b.due = b.due[:0]
 	for _, s := range b.order {
-		if s.trials == 0 && now.Sub(s.seenAt) > trialAfter && (oldest == nil || s.seenAt.Before(oldest.seenAt)) {
-			oldest = s
+		after := trialAfter
+		if s.Domain != b.domain {
+			after = farTrialAfter
+		}
+		if s.trials == 0 && now.Sub(s.seenAt) > after {
+			b.due = append(b.due, s)
 		}
 	}
-	if oldest == nil || b.random.Float64() >= trialShare {
+	if len(b.due) == 0 {
 		return nil
 	}
-	return oldest
+	x, y := b.due[b.random.IntN(len(b.due))], b.due[b.random.IntN(len(b.due))]
+	if y.seenAt.Before(x.seenAt) {
+		return y
+	}
+	return x
 }
 
 // suspects returns the instances that suspicion takes out of use, the worst ones if they are too many.
