--- a/internal/emulator/instance.go
+++ b/internal/emulator/instance.go
@@ -43,7 +43,9 @@
 }
 
 // Address returns where the instance listens.
-func (i *Instance) Address() netip.AddrPort { return netip.MustParseAddrPort(i.listener.Addr().String()) }
+func (i *Instance) Address() netip.AddrPort {
+	return netip.MustParseAddrPort(i.listener.Addr().String())
+}
 
 // Close stops the instance.
 func (i *Instance) Close() { _ = i.listener.Close() }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -221,7 +221,7 @@
 // read receives the answer of a request, and skips late answers to earlier ones.
 func (f *Forwarder) read(c *conn, r Request) (Answer, error) {
 	for range maxStrays {
-		rep, err := http.ReadResponse(c.r, &http.Request{Method: r.Method})
+		rep, err := http.ReadResponse(c.r, &http.Request{Method: r.Method}) //nolint:bodyclose // Reading to its end or closing the connection ends it.
 		if err != nil {
 			return Answer{}, errors.Wrap(err, "answer")
 		}
