Live through SIGHUP; test the receiver's causes in the log and the retry budget

Cause: a daemon of the platform did not handle SIGHUP, which ends a process by default, though it only says that the settings file changed. TestHangupEndsNothing ends the test process without the change.

--- a/gateway.go
+++ b/gateway.go
@@ -2,8 +2,12 @@
 
 import (
 	"os"
+	"os/signal"
+	"reflect"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 
 	"github.com/jacinthproxy/jacinthproxy/internal/logger"
 	"github.com/jacinthproxy/jacinthproxy/internal/runner"
@@ -45,6 +49,24 @@
 	if err != nil {
 		return err
 	}
+	go reload(hangups(), path, s, log)
 	stop, _ := signals()
 	return d.Run(stop)
 }
+
+// hangups returns the signals that the settings file changed, which would end the process otherwise.
+func hangups() <-chan os.Signal {
+	ch := make(chan os.Signal, 1)
+	signal.Notify(ch, syscall.SIGHUP)
+	return ch
+}
+
+// reload checks the settings file at each signal. What it holds is fixed for the life of a process, so a
+// change is only reported.
+func reload(signals <-chan os.Signal, path string, before runner.Settings, log *zap.Logger) {
+	for range signals {
+		now, _, err := platform.ReadSettings(path)
+		changed := err == nil && !reflect.DeepEqual(now, before)
+		log.Info("reload", zap.String("settings", path), zap.Bool("inForceAfterRestart", changed), logger.Cause(err))
+	}
+}
--- /dev/null
+++ b/gateway_test.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jacinthproxy/jacinthproxy/internal/logger"
+	"github.com/jacinthproxy/jacinthproxy/internal/runner"
+)
+
+// buffer is a log that a test reads while it is written.
+type buffer struct {
+	mu sync.Mutex
+	bytes.Buffer
+}
+
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Buffer.Write(p)
+}
+
+func (b *buffer) text() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.String()
+}
+
+// TestHangupEndsNothing sends this process the signal that settings changed.
+func TestHangupEndsNothing(t *testing.T) {
+	var out buffer
+	log, flush, err := logger.New("info", &out)
+	require.NoError(t, err)
+	defer flush()
+	signals := hangups()
+	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	go reload(signals, filepath.Join(t.TempDir(), "none.json"), runner.Settings{}, log)
+	require.Eventually(t, func() bool { return strings.Contains(out.text(), "event=reload") }, 30*time.Second, 10*time.Millisecond)
+}
--- /dev/null
+++ b/internal/picker/picker_test.go
@@ -0,0 +1,92 @@
+package picker_test
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/jacinthproxy/jacinthproxy/internal/chooser"
+	"github.com/jacinthproxy/jacinthproxy/internal/picker"
+	"github.com/jacinthproxy/jacinthproxy/internal/relayer"
+	"github.com/jacinthproxy/jacinthproxy/internal/router"
+	"github.com/jacinthproxy/jacinthproxy/pkg/balancer"
+)
+
+func TestMain(m *testing.M) { chooser.Main(m) }
+
+// TestRetriesOfAllVMsStayInTheirBudget lets every VM of a fleet retry all it may, on any split of the requests,
+// with VMs that restart; the rule allows 0.2 of the requests and the slack in any 10 s.
+func TestRetriesOfAllVMsStayInTheirBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const ratio, steps, window = 0.2, 300, 100
+		vms := rapid.IntRange(2, 60).Draw(t, "vms")
+		slack := rapid.Float64Range(20, 200).Draw(t, "slack")
+		perStep := rapid.IntRange(1, 30).Draw(t, "requests")
+		skew := rapid.IntRange(1, vms).Draw(t, "busy")
+		budgets := make([]*picker.Budget, vms)
+		for i := range budgets {
+			budgets[i] = picker.NewBudget(ratio, slack, vms)
+		}
+		restarts := rapid.IntRange(0, vms/10).Draw(t, "restarts")
+		retries := make([]int, steps)
+		for s := range steps {
+			if s == steps/2 {
+				for i := range restarts {
+					budgets[i] = picker.NewBudget(ratio, slack, vms)
+				}
+			}
+			for range perStep {
+				b := budgets[rapid.IntRange(0, skew-1).Draw(t, "vm")]
+				b.Request()
+				for b.Take() {
+					retries[s]++
+				}
+			}
+		}
+		for s := window; s < steps; s++ {
+			sum := 0
+			for _, n := range retries[s-window : s] {
+				sum += n
+			}
+			require.LessOrEqual(t, float64(sum), ratio*float64(perStep*window)+slack)
+		}
+	})
+}
+
+type reports map[balancer.Outcome]int
+
+func (r reports) Observe(_ string, o balancer.Outcome, _ float64) { r[o]++ }
+
+func TestPickerReportsAndHears(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	p := picker.New(picker.Options{
+		Domain: "d", Random: rand.New(rand.NewPCG(1, 2)), Clock: clock, RetryRatio: 0.2, RetrySlack: 50, VMs: func() int { return 10 },
+	})
+	seen := reports{}
+	p.SetReporter(seen)
+	a := netip.MustParseAddrPort("10.0.0.1:80")
+	p.Set([]balancer.Instance{{ID: "i", Service: "s", Address: a, Domain: "d", Slots: 2}})
+	require.True(t, p.Used(a))
+	r := &router.Route{Name: "r", Objective: time.Second}
+	c, ok := p.Pick("s", balancer.Want{})
+	require.True(t, ok)
+	require.Equal(t, map[string]int{"i": 1}, p.Running())
+	before := p.Typical(r)
+	p.Done(r, c, balancer.OutcomeAnswered, time.Second)
+	require.Greater(t, p.Typical(r), before)
+	p.Overdue(c)
+	require.Equal(t, reports{balancer.OutcomeAnswered: 1, balancer.OutcomeOverdue: 1}, seen)
+	p.Hear([]relayer.Sighting{{Report: balancer.Report{Instance: "i", Counts: map[balancer.Outcome]int{balancer.OutcomeBroken: 1}}}})
+	require.Positive(t, p.Judgements()["s"][0].Evidence)
+	p.Others(map[string]int{"i": 3})
+	require.Equal(t, 3, p.Judgements()["s"][0].Load)
+	_, ok = p.Pick("other", balancer.Want{})
+	require.False(t, ok)
+	p.Set(nil)
+	require.False(t, p.Used(a))
+}
