--- /dev/null
+++ b/internal/relayer/reader_test.go
@@ -0,0 +1,92 @@
+package relayer
+
+import (
+	"context"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/jacinthproxy/jacinthproxy/internal/tracker"
+	"github.com/jacinthproxy/jacinthproxy/pkg/placer"
+)
+
+// follower returns a relayer whose failure domain is led by another VM, or by itself.
+func follower(clock *clockwork.FakeClock, leads bool) *Relayer {
+	t := tracker.New(clock, zap.NewNop())
+	self := placer.VM{Address: netip.MustParseAddrPort("10.0.0.1:1"), Domain: "d", Incarnation: 1}
+	r := New(Options{Self: self, Capacity: 1, Tracker: t, Clock: clock, Logger: zap.NewNop()})
+	r.meetSelf()
+	for i := 2; !leads && r.Leads(); i++ {
+		o := placer.VM{Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1), Domain: "d", Incarnation: 1}
+		t.Meet(tracker.Member{VM: o, Role: tracker.RoleReady, Capacity: 1, At: clock.Now()})
+	}
+	return r
+}
+
+// TestOnlyLeadersReadTheStore lets time pass for a VM whose beliefs its leader keeps fresh, until they are not.
+func TestOnlyLeadersReadTheStore(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	r := follower(clock, false)
+	var reads, age atomic.Int64
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		r.run(ctx, reader{
+			name: "test", age: func() (time.Duration, bool) { return time.Duration(age.Load()), true },
+			read: func(context.Context, time.Duration) error {
+				reads.Add(1)
+				return nil
+			},
+		})
+		close(ended)
+	}()
+	pass := func(d time.Duration) {
+		for range d / tick {
+			require.NoError(t, clock.BlockUntilContext(ctx, 1))
+			clock.Advance(tick)
+		}
+		require.NoError(t, clock.BlockUntilContext(ctx, 1))
+	}
+	age.Store(int64(staleAfter) - 1)
+	pass(10 * time.Second)
+	require.Zero(t, reads.Load())
+	age.Store(int64(staleAfter + staleSpread))
+	pass(10 * time.Second)
+	require.Positive(t, reads.Load())
+	require.LessOrEqual(t, reads.Load(), int64(10*time.Second/stalePause)+1)
+	cancel()
+	clock.Advance(time.Hour)
+	<-ended
+}
+
+func TestLeaderReadsAtItsPace(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	r := follower(clock, true)
+	var reads atomic.Int64
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		r.run(ctx, reader{
+			name: "test", pace: registrationPace, age: func() (time.Duration, bool) { return 0, true },
+			read: func(context.Context, time.Duration) error {
+				reads.Add(1)
+				return nil
+			},
+		})
+		close(ended)
+	}()
+	for range 20 {
+		require.NoError(t, clock.BlockUntilContext(ctx, 1))
+		clock.Advance(registrationPace)
+	}
+	require.NoError(t, clock.BlockUntilContext(ctx, 1))
+	require.EqualValues(t, 21, reads.Load())
+	cancel()
+	clock.Advance(time.Hour)
+	<-ended
+}
