--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,7 @@
 
 demo: build
 	bash scripts/demo.sh
+	bash scripts/gateway.sh
 
 clean:
 	rm -rf bin .demo
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -15,6 +15,8 @@
 	Backend  backendCommand  `cmd:"" help:"Run a backend server."`
 	Links    linksCommand    `cmd:"" help:"Run the links between daemons, which can be cut one way."`
 	Load     loadCommand     `cmd:"" help:"Send requests as callers do and print what became of them."`
+	Store    storeCommand    `cmd:"" help:"Run the metadata store of a platform, with instances."`
+	Ask      askCommand      `cmd:"" help:"Send requests as callers of the platform do and print the statuses."`
 	Set      setCommand      `cmd:"" help:"Set faults of a running stand-in."`
 	Get      getCommand      `cmd:"" help:"Print the answer to a GET."`
 }
