--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/http/httputil"
 	"net/netip"
-	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -40,8 +39,6 @@
 	Signature string
 	// NotRun says that the instance did not run the request.
 	NotRun string
-	// InstanceID names the instance that answers a health check.
-	InstanceID string
 }
 
 // Request is a request for a backend server.
@@ -285,8 +282,3 @@
 	r.close()
 	return nil
 }
-
-// Refused reports whether an error says that nothing listens at the address, as against a silent path.
-func Refused(err error) bool {
-	return errors.Is(err, ErrNotSent) && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, context.DeadlineExceeded)
-}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -28,8 +28,6 @@
 type Options struct {
 	Self     placer.VM
 	Capacity float64
-	// Seeds are peers to begin with while the store's list is not read.
-	Seeds []netip.AddrPort
 	// RateWindow is the span over which the rates of accounts hold.
 	RateWindow time.Duration
 	Tracker    *tracker.Tracker
--- a/internal/runner/settings.go
+++ b/internal/runner/settings.go
@@ -9,9 +9,6 @@
 type Settings struct {
 	Name   string
 	Domain string
-	Region string
-	// Domains are all failure domains.
-	Domains []string
 	// Callers, Readiness and Directory are the addresses that the daemon serves to others.
 	Callers, Readiness, Directory netip.AddrPort
 	// Peers is where other daemons reach it, and Operators where its state and metrics are read.
@@ -31,9 +28,9 @@
 	KeyAge time.Duration
 	// StopGrace is how long after a request to stop the process is killed.
 	StopGrace time.Duration
-	// RetryRatio and RetrySlack bound the requests that are sent once more, within RetryWindow.
+	// RetryRatio and RetrySlack bound the requests that are sent once more, over all VMs: a part of all
+	// requests, and a number besides.
 	RetryRatio, RetrySlack float64
-	RetryWindow            time.Duration
 	// RateWindow is the span over which the rates of accounts hold.
 	RateWindow time.Duration
 	// MaxAddressLife is the longest time that callers keep a list of addresses.
@@ -44,6 +41,6 @@
 func DefaultBounds() Bounds {
 	return Bounds{
 		KeyAge: 5 * time.Second, StopGrace: 6 * time.Second, RetryRatio: 0.2, RetrySlack: 50,
-		RetryWindow: 10 * time.Second, RateWindow: 5 * time.Second, MaxAddressLife: 5 * time.Second,
+		RateWindow: 5 * time.Second, MaxAddressLife: 5 * time.Second,
 	}
 }
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -103,9 +103,6 @@
 	slices.SortFunc(b.order, func(x, y *state) int { return cmp.Compare(x.ID, y.ID) })
 }
 
-// Len returns how many instances may be used.
-func (b *Balancer) Len() int { return len(b.order) }
-
 // Want is what a request needs of an instance.
 type Want struct {
 	Idempotent bool
