Log the source and the age of each view of the instances

Change: the lines of the tracker name the source of a change, the offset and sequence number of its record and the age of the view that it replaces; a registration that contradicts what is known and is not applied leaves a line; a request whose instance left meanwhile leaves one with the age of the view that chose it. No decision changes.

--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -16,9 +16,11 @@
 type attempt struct {
 	choice    balancer.Choice
 	startedAt time.Time
-	cancel    context.CancelFunc
-	response  forwarder.Response
-	err       error
+	// viewAge is the age of the view of the instances that the choice was made with.
+	viewAge  time.Duration
+	cancel   context.CancelFunc
+	response forwarder.Response
+	err      error
 }
 
 // retrier sends one request to instances until one responds or no further attempt is allowed.
@@ -86,9 +88,10 @@
 	r.tried = append(r.tried, c.ID)
 	r.sent++
 	a := &attempt{choice: c, startedAt: r.Clock.Now()}
+	_, a.viewAge = r.Tracker.Usable(c.ID)
 	if resend {
 		r.Logger.Info("sent again", zap.String("id", r.id), zap.String("instance", c.ID), zap.Float64("evidence", c.Evidence),
-			zap.Int("load", c.Load), zap.Duration("after", a.startedAt.Sub(r.arrivedAt)), zap.String("because", r.detail))
+			zap.Int("load", c.Load), zap.Duration("after", a.startedAt.Sub(r.arrivedAt)), zap.Duration("viewAge", a.viewAge), zap.String("because", r.detail))
 	}
 	attemptCtx, cancel := context.WithCancel(ctx)
 	a.cancel = cancel
@@ -110,6 +113,10 @@
 	took := r.Clock.Since(a.startedAt)
 	o := r.classify(ctx, a)
 	r.Picker.Done(r.route, a.choice, o, took)
+	if usable, _ := r.Tracker.Usable(a.choice.ID); !usable {
+		r.Logger.Info("instance left during request", zap.String("id", r.id), zap.String("instance", a.choice.ID),
+			zap.Duration("viewAge", a.viewAge), zap.Duration("took", took), zap.Stringer("outcome", o))
+	}
 	if a.response.BodyRest == nil {
 		a.cancel()
 	}
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -67,6 +67,8 @@
 	// WaitUntilKnown waits until the configuration and the instances are known, at most for the given time or until the
 	// context ends.
 	WaitUntilKnown(ctx context.Context, timeout time.Duration)
+	// Usable reports whether an instance may get new requests, and the age of the view that says so.
+	Usable(instance string) (usable bool, viewAge time.Duration)
 	// MarkMoved marks an instance as no longer present at its address.
 	MarkMoved(id string)
 }
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -36,6 +36,8 @@
 	moved       []string
 	outcomes    []balancer.Outcome
 	leaving     bool
+	// left is set if the instances left while requests were in flight there.
+	left bool
 	// waited is the longest wait that a request asked for, and tableAfterWait the configuration that WaitUntilKnown sets.
 	waited         time.Duration
 	tableAfterWait *router.Table
@@ -81,7 +83,8 @@
 		f.table = f.tableAfterWait
 	}
 }
-func (f *fixture) MarkMoved(id string) { f.moved = append(f.moved, id) }
+func (f *fixture) Usable(string) (bool, time.Duration) { return !f.left, 40 * time.Millisecond }
+func (f *fixture) MarkMoved(id string)                 { f.moved = append(f.moved, id) }
 func (f *fixture) Admit(context.Context, *router.Account) relayer.Admission {
 	return f.admitted
 }
@@ -295,3 +298,16 @@
 	require.Equal(t, http.StatusOK, f.serve("/once/", "secret").Code)
 	require.Equal(t, 1, f.logs.FilterMessage("request").Len(), "a request that succeeds is counted, not logged")
 }
+
+// TestRequestsAtLeavingInstancesAreLogged checks that the log tells which view sent a request to an instance that left.
+func TestRequestsAtLeavingInstancesAreLogged(t *testing.T) {
+	f := newFixture()
+	f.serve("/safe/", "secret")
+	require.Zero(t, f.logs.FilterMessage("instance left during request").Len())
+	f.left = true
+	f.serve("/safe/", "secret")
+	lines := f.logs.FilterMessage("instance left during request").All()
+	require.Len(t, lines, 1)
+	require.Equal(t, "i-1", lines[0].ContextMap()["instance"])
+	require.Equal(t, 40*time.Millisecond, lines[0].ContextMap()["viewAge"])
+}
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -111,7 +111,7 @@
 		}
 		es = append(es, e)
 	}
-	r.Tracker.MergeEntries(es)
+	r.Tracker.MergeEntries(from.Address, es)
 	for _, m := range b.GetMembers() {
 		vm, err := messenger.FromVM(m.GetVm())
 		if err != nil {
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -154,18 +154,19 @@
 // ApplyRegistrations applies entries from a read of the registry that began at a given time. If they are a snapshot of
 // the registry up to an offset, the registrations that are not among them have ended.
 func (t *Tracker) ApplyRegistrations(began time.Time, es []Entry, snapshot bool, endOffset uint64) {
+	from := t.change(sourceStore)
 	t.MarkFresh(time.Time{}, began)
 	t.mu.Lock()
 	changed := false
 	listed := map[string]bool{}
 	for _, e := range es {
 		listed[e.ID] = true
-		changed = t.applyRegistration(e) || changed
+		changed = t.applyRegistration(from, e) || changed
 	}
 	if snapshot {
 		for id, r := range t.records {
 			if !listed[id] && r.Condition != ConditionGone && r.Offset < endOffset {
-				changed = t.endRegistration(r, r.Offset) || changed
+				changed = t.endRegistration(from, r, r.Offset) || changed
 			}
 		}
 	}
@@ -176,16 +177,51 @@
 	}
 }
 
+// sourceStore is the source of changes that this VM read from the registry; that of others is the peer's address.
+const sourceStore = "store"
+
+// sourceGracePeriod is the source of the removals that were put off until the end of the grace period.
+const sourceGracePeriod = "gracePeriod"
+
+// change says where a change of the instances comes from, and the age of the view that it replaces.
+type change struct {
+	source  string
+	viewAge time.Duration
+}
+
+func (t *Tracker) change(source string) change {
+	_, a := t.Ages()
+	return change{source, min(a, maxLoggedAge)}
+}
+
+// maxLoggedAge caps the ages in log lines; before the first read, the age counts from the zero time.
+const maxLoggedAge = time.Hour
+
+func (c change) fields(id string) []zap.Field {
+	return []zap.Field{zap.String("id", id), zap.String("source", c.source), zap.Duration("viewAge", c.viewAge)}
+}
+
+// logNotApplied logs an entry that contradicts a record and is not applied because the record is taken for newer.
+func (t *Tracker) logNotApplied(from change, r *record, e Entry) {
+	if (r.Condition == ConditionReady) == (e.Condition == ConditionReady) {
+		return
+	}
+	t.logger.Info("registration not applied", append(from.fields(e.ID), zap.Stringer("condition", e.Condition),
+		zap.Int64("sequenceNumber", e.SequenceNumber), zap.Uint64("offset", e.Offset), zap.Stringer("known", r.Condition),
+		zap.Int64("knownSequenceNumber", r.SequenceNumber), zap.Uint64("knownOffset", r.Offset))...)
+}
+
 // applyRegistration applies one entry and reports whether the usable instances changed. t.mu must be held.
-func (t *Tracker) applyRegistration(e Entry) bool {
+func (t *Tracker) applyRegistration(from change, e Entry) bool {
 	r := t.records[e.ID]
 	if e.Condition == ConditionGone {
-		return r != nil && r.Condition != ConditionGone && t.endRegistration(r, e.Offset)
+		return r != nil && r.Condition != ConditionGone && t.endRegistration(from, r, e.Offset)
 	}
 	if r == nil {
 		r = &record{}
 		t.records[e.ID] = r
 	} else if !e.newer(r.Entry) {
+		t.logNotApplied(from, r, e)
 		return false
 	}
 	previous := r.Entry
@@ -196,31 +232,33 @@
 		return false
 	}
 	r.sequence = t.recordChange()
-	t.logger.Info("instance", zap.String("id", e.ID), zap.String("service", e.Service), zap.Stringer("condition", e.Condition),
-		zap.Stringer("address", e.Address), zap.String("failureDomain", e.Domain), zap.Uint64("offset", e.Offset))
+	t.logger.Info("instance", append(from.fields(e.ID), zap.String("service", e.Service), zap.Stringer("condition", e.Condition),
+		zap.Stringer("address", e.Address), zap.String("failureDomain", e.Domain), zap.Int64("sequenceNumber", e.SequenceNumber),
+		zap.Uint64("offset", e.Offset))...)
 	return true
 }
 
 // endRegistration ends a registration at once or, shortly after an outage of the registry, at the end of the grace
 // period. It reports whether the registration ended. t.mu must be held.
-func (t *Tracker) endRegistration(r *record, offset uint64) bool {
+func (t *Tracker) endRegistration(from change, r *record, offset uint64) bool {
 	now := t.clock.Now()
 	r.Offset = max(r.Offset, offset)
 	if until := t.recoveredAt.Add(outageGracePeriod); now.Before(until) && r.Condition == ConditionReady {
 		if r.expiresAt.IsZero() {
 			r.expiresAt = until
-			t.logger.Info("registration lapsed", zap.String("id", r.ID), zap.Duration("grace", until.Sub(now)))
+			t.logger.Info("registration lapsed", append(from.fields(r.ID), zap.Uint64("offset", r.Offset), zap.Duration("grace", until.Sub(now)))...)
 		}
 		return false
 	}
-	t.markGone(r)
+	t.markGone(from, r)
 	return true
 }
 
-func (t *Tracker) markGone(r *record) {
+func (t *Tracker) markGone(from change, r *record) {
 	r.Condition, r.goneAt, r.expiresAt = ConditionGone, t.clock.Now(), time.Time{}
 	r.sequence = t.recordChange()
-	t.logger.Info("instance", zap.String("id", r.ID), zap.String("service", r.Service), zap.Stringer("condition", r.Condition))
+	t.logger.Info("instance", append(from.fields(r.ID), zap.String("service", r.Service), zap.Stringer("condition", r.Condition),
+		zap.Int64("sequenceNumber", r.SequenceNumber), zap.Uint64("offset", r.Offset))...)
 }
 
 // expire ends the registrations whose grace period is over, and drops those that ended more than goneTTL ago. t.mu must
@@ -231,7 +269,7 @@
 	for id, r := range t.records {
 		switch {
 		case !r.expiresAt.IsZero() && !now.Before(r.expiresAt):
-			t.markGone(r)
+			t.markGone(change{source: sourceGracePeriod}, r)
 			changed = true
 		case r.Condition == ConditionGone && now.Sub(r.goneAt) > goneTTL:
 			delete(t.records, id)
@@ -279,6 +317,14 @@
 	return is
 }
 
+// Usable reports whether an instance may get new requests, and the age of the view that says so.
+func (t *Tracker) Usable(id string) (usable bool, viewAge time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.records[id]
+	return r != nil && r.Condition == ConditionReady, t.clock.Since(t.entriesReadAt)
+}
+
 // Entries returns the entries of all known instances, in no particular order.
 func (t *Tracker) Entries() []Entry {
 	t.mu.Lock()
@@ -369,11 +415,12 @@
 }
 
 // MergeEntries merges entries that a peer knows.
-func (t *Tracker) MergeEntries(es []Entry) {
+func (t *Tracker) MergeEntries(peer netip.AddrPort, es []Entry) {
+	from := t.change(peer.String())
 	t.mu.Lock()
 	changed := false
 	for _, e := range es {
-		changed = t.mergeEntry(e) || changed
+		changed = t.mergeEntry(from, e) || changed
 	}
 	t.mu.Unlock()
 	if changed {
@@ -381,15 +428,19 @@
 	}
 }
 
-func (t *Tracker) mergeEntry(e Entry) bool {
+func (t *Tracker) mergeEntry(from change, e Entry) bool {
 	r := t.records[e.ID]
 	if e.Condition != ConditionGone {
-		return t.applyRegistration(e)
+		return t.applyRegistration(from, e)
+	}
+	if r == nil || r.Condition == ConditionGone {
+		return false
 	}
-	if r == nil || r.Condition == ConditionGone || r.newer(e) {
+	if r.newer(e) {
+		t.logNotApplied(from, r, e)
 		return false
 	}
 	r.Offset = max(r.Offset, e.Offset)
-	t.markGone(r)
+	t.markGone(from, r)
 	return true
 }
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -29,6 +29,9 @@
 	}
 }
 
+// peer is the address of a VM whose entries are merged.
+var peer = netip.MustParseAddrPort("10.0.0.2:1")
+
 func usable(t *tracker.Tracker) int { return len(t.UsableInstances()) }
 
 func TestVersionsOnlyGrow(t *testing.T) {
@@ -97,12 +100,12 @@
 			a.ApplyRegistrations(c.Now(), []tracker.Entry{entry(id, int64(n+1), condition)}, false, uint64(n))
 			if rapid.Bool().Draw(t, "told") {
 				ch, _ := a.ChangesSince(seen)
-				b.MergeEntries(ch.Entries)
+				b.MergeEntries(peer, ch.Entries)
 				seen = ch.Sequence
 			}
 		}
 		ch, _ := a.ChangesSince(seen)
-		b.MergeEntries(ch.Entries)
+		b.MergeEntries(peer, ch.Entries)
 		ids := func(x *tracker.Tracker) map[string]bool {
 			m := map[string]bool{}
 			for _, i := range x.UsableInstances() {
