Reproduce DRAIN: a relayed removal loses to a known sequence number

Callers' requests reached instances that had left, up to some seconds after the store had acknowledged it.

--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -167,3 +167,16 @@
 	<-done
 	tr.WaitUntilKnown(t.Context(), time.Second)
 }
+
+// TestRelayedRemovalOutranksKnownSequenceNumber guards against a removed instance that stays usable at a VM which knows
+// a later sequence number of it than the peer that relays the removal.
+func TestRelayedRemovalOutranksKnownSequenceNumber(t *testing.T) {
+	reader, c := newTracker()
+	reader.ApplyRegistrations(c.Now(), []tracker.Entry{entry("i", 1, tracker.ConditionReady)}, true, 2)
+	restarted, _ := newTracker()
+	restarted.ApplyRegistrations(c.Now(), []tracker.Entry{entry("i", 3, tracker.ConditionReady)}, true, 4)
+	reader.ApplyRegistrations(c.Now(), []tracker.Entry{{Instance: balancer.Instance{ID: "i"}, Condition: tracker.ConditionGone, Offset: 9}}, false, 10)
+	ch, _ := reader.ChangesSince(0)
+	restarted.MergeEntries(peer, ch.Entries)
+	require.Zero(t, usable(restarted))
+}
