Order the ends of registrations by the store's offsets

Callers' requests went on reaching an instance whose registration had ended, at some VMs, for seconds. Cause: a relayed end of a registration was compared with the VM's last report of the instance by the instance's own sequence numbers. A peer may know the instance by a lower number, as reports that change nothing else are not relayed; so a VM that had started later and read number 3 dropped the end that a peer told with number 2, and as the same exchange confirmed its view, it did not read for itself. Evidence: "registration not applied" with condition=gone at the VMs that broke the rule. Change: sequence numbers order the reports of one instance, the store's offsets order reports and ends. A relayed end carries the latest number, so that a late report does not revive the instance. MarkMoved ends by offset too. Tests: TestRelayedRemovalOutranksKnownSequenceNumber, TestRelayedReportFromBeforeRemovalDoesNotRevive and TestOldHistoryDoesNotEndLaterRegistration fail on the code before. Two tests had reports with offsets from before the end that they follow, which a store never gives; they now have later ones and check the same.

--- /dev/null
+++ b/internal/tracker/record.go
@@ -0,0 +1,43 @@
+package tracker
+
+import "time"
+
+// record is what is known of an instance: its newest report on itself, and up to where in the registry its
+// registrations have ended.
+//
+// Sequence numbers order the reports of one instance, offsets order the reports and the ends of registrations. Peers
+// may know a report by a lower sequence number than this VM, since a report that changes nothing else is not relayed.
+// So the end of a registration is compared with a report by offset.
+type record struct {
+	Entry
+	// endedBefore is the offset before which all registrations of the instance have ended; zero if none has.
+	endedBefore uint64
+	// sequence is the tracker's sequence number of the last change.
+	sequence uint64
+	goneAt   time.Time
+	// expiresAt is when an ended registration stops being used unless the instance registers again; zero if it is not
+	// used any more, or has not ended.
+	expiresAt time.Time
+}
+
+// current returns the entry as peers get it.
+func (r *record) current() Entry {
+	e := r.Entry
+	if r.Offset < r.endedBefore && r.expiresAt.IsZero() {
+		e.Condition, e.Offset = ConditionGone, r.endedBefore-1
+	}
+	return e
+}
+
+// condition returns the condition of the instance.
+func (r *record) condition() Condition { return r.current().Condition }
+
+// end notes the end of a registration, as e says, and reports whether it ends the newest report.
+func (r *record) end(e Entry) bool {
+	r.endedBefore = max(r.endedBefore, e.Offset+1)
+	if !r.newer(e) {
+		// The peer knew a later report when the registration ended.
+		r.Incarnation, r.SequenceNumber, r.Offset = e.Incarnation, e.SequenceNumber, min(r.Offset, e.Offset)
+	}
+	return r.Offset < r.endedBefore
+}
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -24,15 +24,6 @@
 	goneTTL = 2 * time.Minute
 )
 
-// record is an entry with the sequence number of its last change.
-type record struct {
-	Entry
-	sequence uint64
-	goneAt   time.Time
-	// expiresAt is when the registration ends unless the instance registers again; zero if it is not about to end.
-	expiresAt time.Time
-}
-
 type member struct {
 	Member
 	sequence uint64
@@ -161,12 +152,12 @@
 	listed := map[string]bool{}
 	for _, e := range es {
 		listed[e.ID] = true
-		changed = t.applyRegistration(from, e) || changed
+		changed = t.apply(from, e, true) || changed
 	}
-	if snapshot {
+	if snapshot && endOffset > 0 {
 		for id, r := range t.records {
-			if !listed[id] && r.Condition != ConditionGone && r.Offset < endOffset {
-				changed = t.endRegistration(from, r, r.Offset) || changed
+			if !listed[id] {
+				changed = t.endRegistration(from, r, endedAt(id, endOffset-1), true) || changed
 			}
 		}
 	}
@@ -177,6 +168,20 @@
 	}
 }
 
+// endedAt returns the entry of an instance whose registration ended at an offset.
+func endedAt(id string, offset uint64) Entry {
+	return Entry{Instance: balancer.Instance{ID: id}, Condition: ConditionGone, Offset: offset}
+}
+
+// apply applies one entry and reports whether the usable instances changed. t.mu must be held.
+func (t *Tracker) apply(from change, e Entry, grace bool) bool {
+	if e.Condition != ConditionGone {
+		return t.applyReport(from, e)
+	}
+	r := t.records[e.ID]
+	return r != nil && t.endRegistration(from, r, e, grace)
+}
+
 // sourceStore is the source of changes that this VM read from the registry; that of others is the peer's address.
 const sourceStore = "store"
 
@@ -201,32 +206,35 @@
 	return []zap.Field{zap.String("id", id), zap.String("source", c.source), zap.Duration("viewAge", c.viewAge)}
 }
 
-// logNotApplied logs an entry that contradicts a record and is not applied because the record is taken for newer.
+// logNotApplied logs an entry that contradicts a record and is not applied although it is later in the registry.
 func (t *Tracker) logNotApplied(from change, r *record, e Entry) {
-	if (r.Condition == ConditionReady) == (e.Condition == ConditionReady) {
+	known := r.current()
+	if e.Offset <= known.Offset || (known.Condition == ConditionReady) == (e.Condition == ConditionReady) {
 		return
 	}
 	t.logger.Info("registration not applied", append(from.fields(e.ID), zap.Stringer("condition", e.Condition),
-		zap.Int64("sequenceNumber", e.SequenceNumber), zap.Uint64("offset", e.Offset), zap.Stringer("known", r.Condition),
-		zap.Int64("knownSequenceNumber", r.SequenceNumber), zap.Uint64("knownOffset", r.Offset))...)
+		zap.Int64("sequenceNumber", e.SequenceNumber), zap.Uint64("offset", e.Offset), zap.Stringer("known", known.Condition),
+		zap.Int64("knownSequenceNumber", known.SequenceNumber), zap.Uint64("knownOffset", known.Offset))...)
 }
 
-// applyRegistration applies one entry and reports whether the usable instances changed. t.mu must be held.
-func (t *Tracker) applyRegistration(from change, e Entry) bool {
+// applyReport applies an instance's report on itself, and reports whether the usable instances changed. t.mu must be
+// held.
+func (t *Tracker) applyReport(from change, e Entry) bool {
 	r := t.records[e.ID]
-	if e.Condition == ConditionGone {
-		return r != nil && r.Condition != ConditionGone && t.endRegistration(from, r, e.Offset)
-	}
-	if r == nil {
+	known := r != nil
+	if !known {
 		r = &record{}
 		t.records[e.ID] = r
 	} else if !e.newer(r.Entry) {
 		t.logNotApplied(from, r, e)
 		return false
 	}
-	previous := r.Entry
-	known := r.sequence != 0
-	r.Entry, r.expiresAt, r.goneAt = e, time.Time{}, time.Time{}
+	previous := r.current()
+	r.Entry = e
+	if e.Offset < r.endedBefore {
+		return false
+	}
+	r.expiresAt, r.goneAt = time.Time{}, time.Time{}
 	if known && previous.Condition == e.Condition && previous.Address == e.Address && previous.Service == e.Service &&
 		previous.Domain == e.Domain && previous.Slots == e.Slots && previous.Incarnation == e.Incarnation {
 		return false
@@ -239,14 +247,22 @@
 }
 
 // endRegistration ends a registration at once or, shortly after an outage of the registry, at the end of the grace
-// period. It reports whether the registration ended. t.mu must be held.
-func (t *Tracker) endRegistration(from change, r *record, offset uint64) bool {
+// period. It reports whether the usable instances changed. t.mu must be held.
+func (t *Tracker) endRegistration(from change, r *record, e Entry, grace bool) bool {
+	if r.condition() == ConditionGone {
+		r.end(e)
+		return false
+	}
 	now := t.clock.Now()
-	r.Offset = max(r.Offset, offset)
-	if until := t.recoveredAt.Add(outageGracePeriod); now.Before(until) && r.Condition == ConditionReady {
+	ready := r.condition() == ConditionReady
+	if !r.end(e) {
+		t.logNotApplied(from, r, e)
+		return false
+	}
+	if until := t.recoveredAt.Add(outageGracePeriod); grace && now.Before(until) && ready {
 		if r.expiresAt.IsZero() {
 			r.expiresAt = until
-			t.logger.Info("registration lapsed", append(from.fields(r.ID), zap.Uint64("offset", r.Offset), zap.Duration("grace", until.Sub(now)))...)
+			t.logger.Info("registration lapsed", append(from.fields(r.ID), zap.Uint64("offset", e.Offset), zap.Duration("grace", until.Sub(now)))...)
 		}
 		return false
 	}
@@ -254,11 +270,12 @@
 	return true
 }
 
+// markGone takes a record whose registration has ended out of use.
 func (t *Tracker) markGone(from change, r *record) {
-	r.Condition, r.goneAt, r.expiresAt = ConditionGone, t.clock.Now(), time.Time{}
+	r.goneAt, r.expiresAt = t.clock.Now(), time.Time{}
 	r.sequence = t.recordChange()
-	t.logger.Info("instance", append(from.fields(r.ID), zap.String("service", r.Service), zap.Stringer("condition", r.Condition),
-		zap.Int64("sequenceNumber", r.SequenceNumber), zap.Uint64("offset", r.Offset))...)
+	t.logger.Info("instance", append(from.fields(r.ID), zap.String("service", r.Service), zap.Stringer("condition", r.condition()),
+		zap.Int64("sequenceNumber", r.SequenceNumber), zap.Uint64("offset", r.endedBefore-1))...)
 }
 
 // expire ends the registrations whose grace period is over, and drops those that ended more than goneTTL ago. t.mu must
@@ -271,7 +288,7 @@
 		case !r.expiresAt.IsZero() && !now.Before(r.expiresAt):
 			t.markGone(change{source: sourceGracePeriod}, r)
 			changed = true
-		case r.Condition == ConditionGone && now.Sub(r.goneAt) > goneTTL:
+		case r.condition() == ConditionGone && now.Sub(r.goneAt) > goneTTL:
 			delete(t.records, id)
 		}
 	}
@@ -292,9 +309,10 @@
 func (t *Tracker) MarkMoved(id string) {
 	t.mu.Lock()
 	r := t.records[id]
-	changed := r != nil && r.Condition == ConditionReady
+	changed := r != nil && r.condition() == ConditionReady
 	if changed {
-		r.Condition, r.goneAt = ConditionGone, t.clock.Now()
+		r.end(endedAt(id, r.Offset))
+		r.goneAt, r.expiresAt = t.clock.Now(), time.Time{}
 		r.sequence = t.recordChange()
 		t.logger.Info("instance moved", zap.String("id", id))
 	}
@@ -310,7 +328,7 @@
 	defer t.mu.Unlock()
 	var is []balancer.Instance
 	for _, r := range t.records {
-		if r.Condition == ConditionReady {
+		if r.condition() == ConditionReady {
 			is = append(is, r.Instance)
 		}
 	}
@@ -322,7 +340,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.records[id]
-	return r != nil && r.Condition == ConditionReady, t.clock.Since(t.entriesReadAt)
+	return r != nil && r.condition() == ConditionReady, t.clock.Since(t.entriesReadAt)
 }
 
 // Entries returns the entries of all known instances, in no particular order.
@@ -331,7 +349,7 @@
 	defer t.mu.Unlock()
 	es := make([]Entry, 0, len(t.records))
 	for _, r := range t.records {
-		es = append(es, r.Entry)
+		es = append(es, r.current())
 	}
 	return es
 }
@@ -403,7 +421,7 @@
 	}
 	for _, r := range t.records {
 		if r.sequence > sequence {
-			c.Entries = append(c.Entries, r.Entry)
+			c.Entries = append(c.Entries, r.current())
 		}
 	}
 	for _, m := range t.members {
@@ -420,27 +438,10 @@
 	t.mu.Lock()
 	changed := false
 	for _, e := range es {
-		changed = t.mergeEntry(from, e) || changed
+		changed = t.apply(from, e, false) || changed
 	}
 	t.mu.Unlock()
 	if changed {
 		t.onInstancesChange()
 	}
 }
-
-func (t *Tracker) mergeEntry(from change, e Entry) bool {
-	r := t.records[e.ID]
-	if e.Condition != ConditionGone {
-		return t.applyRegistration(from, e)
-	}
-	if r == nil || r.Condition == ConditionGone {
-		return false
-	}
-	if r.newer(e) {
-		t.logNotApplied(from, r, e)
-		return false
-	}
-	r.Offset = max(r.Offset, e.Offset)
-	t.markGone(from, r)
-	return true
-}
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -29,6 +29,17 @@
 	}
 }
 
+// at returns an entry as it stands at another offset of the registry.
+func at(e tracker.Entry, offset uint64) tracker.Entry {
+	e.Offset = offset
+	return e
+}
+
+// gone returns the end of an instance's registration.
+func gone(id string, offset uint64) tracker.Entry {
+	return tracker.Entry{Instance: balancer.Instance{ID: id}, Condition: tracker.ConditionGone, Offset: offset}
+}
+
 // peer is the address of a VM whose entries are merged.
 var peer = netip.MustParseAddrPort("10.0.0.2:1")
 
@@ -64,11 +75,11 @@
 	tr, c := newTracker()
 	tr.ApplyRegistrations(c.Now(), []tracker.Entry{entry("i", 5, tracker.ConditionReady)}, true, 6)
 	c.Advance(500 * time.Millisecond)
-	tr.ApplyRegistrations(c.Now(), []tracker.Entry{{Instance: balancer.Instance{ID: "i"}, Condition: tracker.ConditionGone, Offset: 7}}, false, 8)
+	tr.ApplyRegistrations(c.Now(), []tracker.Entry{gone("i", 7)}, false, 8)
 	require.Zero(t, usable(tr))
-	tr.ApplyRegistrations(c.Now(), []tracker.Entry{entry("i", 4, tracker.ConditionReady)}, false, 9)
+	tr.ApplyRegistrations(c.Now(), []tracker.Entry{at(entry("i", 4, tracker.ConditionReady), 8)}, false, 9)
 	require.Zero(t, usable(tr), "a late heartbeat must not revive it")
-	tr.ApplyRegistrations(c.Now(), []tracker.Entry{entry("i", 6, tracker.ConditionReady)}, false, 10)
+	tr.ApplyRegistrations(c.Now(), []tracker.Entry{at(entry("i", 6, tracker.ConditionReady), 9)}, false, 10)
 	require.Equal(t, 1, usable(tr))
 }
 
@@ -81,7 +92,7 @@
 	tr.ApplyRegistrations(c.Now(), nil, true, 20)
 	require.Equal(t, 2, usable(tr))
 	c.Advance(1500 * time.Millisecond)
-	tr.ApplyRegistrations(c.Now(), []tracker.Entry{entry("i", 9, tracker.ConditionReady)}, false, 21)
+	tr.ApplyRegistrations(c.Now(), []tracker.Entry{at(entry("i", 9, tracker.ConditionReady), 20)}, false, 21)
 	c.Advance(time.Second)
 	tr.Expire()
 	require.Equal(t, 1, usable(tr), "one instance registered again")
@@ -175,8 +186,43 @@
 	reader.ApplyRegistrations(c.Now(), []tracker.Entry{entry("i", 1, tracker.ConditionReady)}, true, 2)
 	restarted, _ := newTracker()
 	restarted.ApplyRegistrations(c.Now(), []tracker.Entry{entry("i", 3, tracker.ConditionReady)}, true, 4)
-	reader.ApplyRegistrations(c.Now(), []tracker.Entry{{Instance: balancer.Instance{ID: "i"}, Condition: tracker.ConditionGone, Offset: 9}}, false, 10)
+	reader.ApplyRegistrations(c.Now(), []tracker.Entry{gone("i", 9)}, false, 10)
 	ch, _ := reader.ChangesSince(0)
 	restarted.MergeEntries(peer, ch.Entries)
 	require.Zero(t, usable(restarted))
 }
+
+// TestRelayedReportFromBeforeRemovalDoesNotRevive guards against a removed instance that a report from before its
+// removal, relayed late, makes usable again.
+func TestRelayedReportFromBeforeRemovalDoesNotRevive(t *testing.T) {
+	tr, c := newTracker()
+	tr.ApplyRegistrations(c.Now(), []tracker.Entry{entry("i", 4, tracker.ConditionReady)}, true, 5)
+	tr.ApplyRegistrations(c.Now(), []tracker.Entry{gone("i", 100)}, false, 101)
+	tr.MergeEntries(peer, []tracker.Entry{at(entry("i", 20, tracker.ConditionReady), 90)})
+	require.Zero(t, usable(tr))
+	tr.MergeEntries(peer, []tracker.Entry{at(entry("i", 21, tracker.ConditionReady), 101)})
+	require.Equal(t, 1, usable(tr), "it registered again")
+}
+
+// TestOldHistoryDoesNotEndLaterRegistration guards against an instance that registered again and that a read of the
+// history from before takes out of use.
+func TestOldHistoryDoesNotEndLaterRegistration(t *testing.T) {
+	tr, c := newTracker()
+	tr.MergeEntries(peer, []tracker.Entry{at(entry("i", 9, tracker.ConditionReady), 40)})
+	history := []tracker.Entry{at(entry("i", 5, tracker.ConditionReady), 20), gone("i", 30), at(entry("i", 9, tracker.ConditionReady), 40)}
+	tr.ApplyRegistrations(c.Now(), history, false, 41)
+	require.Equal(t, 1, usable(tr))
+}
+
+// TestLateReportOfLeavingInstanceDoesNotRevive guards against an instance that said that it leaves, and that a VM which
+// did not know of it takes for usable because of a report written late, after the end of the registration.
+func TestLateReportOfLeavingInstanceDoesNotRevive(t *testing.T) {
+	reader, c := newTracker()
+	reader.ApplyRegistrations(c.Now(), []tracker.Entry{entry("i", 7, tracker.ConditionReady)}, true, 8)
+	reader.ApplyRegistrations(c.Now(), []tracker.Entry{at(entry("i", 8, tracker.ConditionLeaving), 8), gone("i", 9)}, false, 10)
+	other, _ := newTracker()
+	other.ApplyRegistrations(c.Now(), []tracker.Entry{at(entry("i", 7, tracker.ConditionReady), 10)}, true, 11)
+	ch, _ := reader.ChangesSince(0)
+	other.MergeEntries(peer, ch.Entries)
+	require.Zero(t, usable(other))
+}
