Relay a view of the registry as a whole, not its age alone

Callers' requests went on reaching an instance whose registration had ended, at all VMs of the fleet. When it became the reader for the fleet, its peers got the age of its view with the changes since; the end of a registration that none of them had read was not among these. Each had a fresh view with the instance in it, and gave it back to the new reader. The same for an end that was forgotten before a peer learned of it, and for a state that a peer skipped: a relayed report that changed nothing here was not passed on, though the next peer knew another state. Change: a view carries the offset up to which it covers the registry. An instance unknown here is not taken from an entry that the view covers. Relayed reports are always passed on. A view counts as fresh in the same step as its entries are applied, not before, and not at all if an entry cannot be decoded. Tests: TestSnapshotOfNewReaderEndsInstancesUnknownToIt and TestRelayedEntryThatSnapshotLacksIsNotUsed fail on the code before (one instance too many).

--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -102,16 +102,24 @@
 		}
 		r.Tracker.ApplyConfiguration(conf)
 	}
-	var es []tracker.Entry
+	sent := began.Add(time.Duration(b.GetHeldMs()) * time.Millisecond)
+	instances := tracker.Changes{Complete: b.GetInstancesComplete(), End: b.GetInstancesEnd()}
+	if b.GetInstancesKnown() {
+		instances.EntriesReadAt = sent.Add(-time.Duration(b.GetInstancesAgeMs()) * time.Millisecond)
+	}
 	for _, m := range b.GetRegistrations() {
 		e, err := fromRegistration(now, m)
 		if err != nil {
+			// Without one of its changes, the peer's view must not count as known here.
 			r.Logger.Error("cannot decode a registration from a peer", zap.Stringer("peer", from.Address), logger.Err(err))
-			continue
+			return
 		}
-		es = append(es, e)
+		instances.Entries = append(instances.Entries, e)
+	}
+	r.Tracker.MergeInstances(from.Address, instances)
+	if b.GetConfigurationKnown() {
+		r.Tracker.MarkTableFresh(sent.Add(-time.Duration(b.GetConfigurationAgeMs()) * time.Millisecond))
 	}
-	r.Tracker.MergeEntries(from.Address, es)
 	for _, m := range b.GetMembers() {
 		vm, err := messenger.FromVM(m.GetVm())
 		if err != nil {
@@ -123,15 +131,6 @@
 			r.Tracker.UpdateMember(tracker.Member{VM: vm, Role: tracker.Role(m.GetRole()), Capacity: m.GetCapacity(), AsOf: at})
 		}
 	}
-	sent := began.Add(time.Duration(b.GetHeldMs()) * time.Millisecond)
-	var tableReadAt, entriesReadAt time.Time
-	if b.GetConfigurationKnown() {
-		tableReadAt = sent.Add(-time.Duration(b.GetConfigurationAgeMs()) * time.Millisecond)
-	}
-	if b.GetInstancesKnown() {
-		entriesReadAt = sent.Add(-time.Duration(b.GetInstancesAgeMs()) * time.Millisecond)
-	}
-	r.Tracker.MarkFresh(tableReadAt, entriesReadAt)
 	r.mu.Lock()
 	r.cursors[from.Address] = cursor{b.GetIncarnation(), b.GetSequence(), loadsSentAt}
 	if leader {
@@ -326,6 +325,7 @@
 		Incarnation: r.Self.Incarnation, Sequence: c.Sequence,
 		ConfigurationKnown: !c.TableReadAt.IsZero(), InstancesKnown: !c.EntriesReadAt.IsZero(),
 		ConfigurationAgeMs: ageMs(now, c.TableReadAt), InstancesAgeMs: ageMs(now, c.EntriesReadAt),
+		InstancesComplete: c.Complete, InstancesEnd: c.End,
 	}
 	if c.Table != nil {
 		b, err := json.Marshal(c.Table.Configuration)
--- a/internal/relayer/loops.go
+++ b/internal/relayer/loops.go
@@ -243,7 +243,7 @@
 			}
 			after = got.Next
 			if t, _ := r.Tracker.Table(); t != nil {
-				r.Tracker.MarkFresh(began, time.Time{})
+				r.Tracker.MarkTableFresh(began)
 			}
 			return nil
 		},
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -20,7 +20,7 @@
 	outageThreshold = 1200 * time.Millisecond
 	// outageGracePeriod is how long after an outage an instance whose registration lapsed may take to register again.
 	outageGracePeriod = 2 * time.Second
-	// goneTTL is how long an ended registration is kept, so that a late report does not revive it.
+	// goneTTL is how long an ended registration is kept, so that peers learn of its end.
 	goneTTL = 2 * time.Minute
 )
 
@@ -40,6 +40,12 @@
 	// tableReadAt and entriesReadAt are the start times of the latest reads that confirmed the configuration and the
 	// instances.
 	tableReadAt, entriesReadAt time.Time
+	// end is the offset up to which the records cover the registry; zero if unknown.
+	end uint64
+	// replacedSequence is the sequence number of the last time that the records were replaced as a whole, or of the
+	// latest record that was dropped. A peer with changes up to a lower one gets all records, since it may know
+	// instances whose end is not among the changes.
+	replacedSequence uint64
 	// recoveredAt is when the registry was first read again after the last outage.
 	recoveredAt time.Time
 	records     map[string]*record
@@ -115,23 +121,34 @@
 		zap.Int("routes", len(c.Routes)), zap.Int("accounts", len(c.Accounts)))
 }
 
-// MarkFresh records that reads that began at the given times found nothing newer than what is known here. A zero time
-// stands for no read.
-func (t *Tracker) MarkFresh(tableReadAt, entriesReadAt time.Time) {
+// MarkTableFresh records that a read which began at the given time found no newer configuration than the known one.
+func (t *Tracker) MarkTableFresh(readAt time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if tableReadAt.After(t.tableReadAt) {
-		t.tableReadAt = tableReadAt
+	if readAt.After(t.tableReadAt) {
+		t.tableReadAt = readAt
 	}
-	if !entriesReadAt.After(t.entriesReadAt) {
+}
+
+// noteGap starts the grace period if a view of the instances that was read at the given time follows a long time without
+// one. t.mu must be held.
+func (t *Tracker) noteGap(readAt time.Time) {
+	if !t.entriesReadAt.IsZero() && readAt.Sub(t.entriesReadAt) > outageThreshold {
+		t.recoveredAt = t.clock.Now()
+	}
+}
+
+// confirm records that the records hold what the registry held up to an offset, by a read that began at the given time.
+// t.mu must be held.
+func (t *Tracker) confirm(readAt time.Time, end uint64) {
+	t.end = max(t.end, end)
+	if !readAt.After(t.entriesReadAt) {
 		return
 	}
 	if t.entriesReadAt.IsZero() {
 		t.recordChange()
-	} else if entriesReadAt.Sub(t.entriesReadAt) > outageThreshold {
-		t.recoveredAt = t.clock.Now()
 	}
-	t.entriesReadAt = entriesReadAt
+	t.entriesReadAt = readAt
 }
 
 // Ages returns the time since the start of the reads that confirmed the configuration and the instances.
@@ -142,25 +159,22 @@
 	return now.Sub(t.tableReadAt), now.Sub(t.entriesReadAt)
 }
 
-// ApplyRegistrations applies entries from a read of the registry that began at a given time. If they are a snapshot of
-// the registry up to an offset, the registrations that are not among them have ended.
-func (t *Tracker) ApplyRegistrations(began time.Time, es []Entry, snapshot bool, endOffset uint64) {
-	from := t.change(sourceStore)
-	t.MarkFresh(time.Time{}, began)
+// ApplyRegistrations applies entries from a read of the registry that began at a given time and covers it up to an
+// offset. If they are a snapshot, the registrations that are not among them have ended.
+func (t *Tracker) ApplyRegistrations(began time.Time, es []Entry, snapshot bool, end uint64) {
 	t.mu.Lock()
-	changed := false
-	listed := map[string]bool{}
-	for _, e := range es {
-		listed[e.ID] = true
-		changed = t.apply(from, e, true) || changed
+	from := t.change(sourceStore)
+	t.noteGap(began)
+	// A later snapshot than what is known is the truth even about instances that are unknown here.
+	latest := snapshot && end >= t.end
+	changed := t.applyAll(from, es, latest, true)
+	if snapshot {
+		changed = t.endUnlisted(from, es, end, true) || changed
 	}
-	if snapshot && endOffset > 0 {
-		for id, r := range t.records {
-			if !listed[id] {
-				changed = t.endRegistration(from, r, endedAt(id, endOffset-1), true) || changed
-			}
-		}
+	if latest {
+		t.replacedSequence = t.recordChange()
 	}
+	t.confirm(began, end)
 	changed = t.expire() || changed
 	t.mu.Unlock()
 	if changed {
@@ -168,18 +182,60 @@
 	}
 }
 
+// applyAll applies entries and reports whether the usable instances changed. Unless latest is set, it leaves out
+// instances that are unknown here although the records cover the registry beyond their entry: they have left. t.mu must
+// be held.
+func (t *Tracker) applyAll(from change, es []Entry, latest, own bool) bool {
+	changed := false
+	for _, e := range es {
+		if t.records[e.ID] == nil && e.Offset < t.end && !latest {
+			continue
+		}
+		changed = t.apply(from, e, own) || changed
+	}
+	return changed
+}
+
+// endUnlisted ends the registrations from before an offset that are not among the given entries, and reports whether the
+// usable instances changed. t.mu must be held.
+func (t *Tracker) endUnlisted(from change, es []Entry, end uint64, own bool) bool {
+	if end == 0 {
+		return false
+	}
+	listed := make(map[string]bool, len(es))
+	for _, e := range es {
+		listed[e.ID] = true
+	}
+	changed := false
+	for id, r := range t.records {
+		if !listed[id] {
+			changed = t.endRegistration(from, r, endedAt(id, end-1), own) || changed
+		}
+	}
+	return changed
+}
+
 // endedAt returns the entry of an instance whose registration ended at an offset.
 func endedAt(id string, offset uint64) Entry {
 	return Entry{Instance: balancer.Instance{ID: id}, Condition: ConditionGone, Offset: offset}
 }
 
-// apply applies one entry and reports whether the usable instances changed. t.mu must be held.
-func (t *Tracker) apply(from change, e Entry, grace bool) bool {
+// apply applies one entry and reports whether the usable instances changed. Own says that this VM read it from the
+// registry. t.mu must be held.
+func (t *Tracker) apply(from change, e Entry, own bool) bool {
 	if e.Condition != ConditionGone {
-		return t.applyReport(from, e)
+		return t.applyReport(from, e, own)
 	}
 	r := t.records[e.ID]
-	return r != nil && t.endRegistration(from, r, e, grace)
+	if r == nil {
+		// Peers that know the instance must learn that it left.
+		r = &record{Entry: e, endedBefore: e.Offset + 1, goneAt: t.clock.Now()}
+		r.Offset = 0
+		r.sequence = t.recordChange()
+		t.records[e.ID] = r
+		return false
+	}
+	return t.endRegistration(from, r, e, own)
 }
 
 // sourceStore is the source of changes that this VM read from the registry; that of others is the peer's address.
@@ -194,9 +250,9 @@
 	viewAge time.Duration
 }
 
+// change returns a change from a source to the current view. t.mu must be held.
 func (t *Tracker) change(source string) change {
-	_, a := t.Ages()
-	return change{source, min(a, maxLoggedAge)}
+	return change{source, min(t.clock.Since(t.entriesReadAt), maxLoggedAge)}
 }
 
 // maxLoggedAge caps the ages in log lines; before the first read, the age counts from the zero time.
@@ -219,7 +275,7 @@
 
 // applyReport applies an instance's report on itself, and reports whether the usable instances changed. t.mu must be
 // held.
-func (t *Tracker) applyReport(from change, e Entry) bool {
+func (t *Tracker) applyReport(from change, e Entry, own bool) bool {
 	r := t.records[e.ID]
 	known := r != nil
 	if !known {
@@ -235,11 +291,15 @@
 		return false
 	}
 	r.expiresAt, r.goneAt = time.Time{}, time.Time{}
-	if known && previous.Condition == e.Condition && previous.Address == e.Address && previous.Service == e.Service &&
-		previous.Domain == e.Domain && previous.Slots == e.Slots && previous.Incarnation == e.Incarnation {
+	unchanged := known && previous.Condition == e.Condition && previous.Address == e.Address && previous.Service == e.Service &&
+		previous.Domain == e.Domain && previous.Slots == e.Slots && previous.Incarnation == e.Incarnation
+	// The registry has each report, but a relayed one may follow others that peers of this VM know.
+	if !unchanged || !own {
+		r.sequence = t.recordChange()
+	}
+	if unchanged {
 		return false
 	}
-	r.sequence = t.recordChange()
 	t.logger.Info("instance", append(from.fields(e.ID), zap.String("service", e.Service), zap.Stringer("condition", e.Condition),
 		zap.Stringer("address", e.Address), zap.String("failureDomain", e.Domain), zap.Int64("sequenceNumber", e.SequenceNumber),
 		zap.Uint64("offset", e.Offset))...)
@@ -248,8 +308,11 @@
 
 // endRegistration ends a registration at once or, shortly after an outage of the registry, at the end of the grace
 // period. It reports whether the usable instances changed. t.mu must be held.
-func (t *Tracker) endRegistration(from change, r *record, e Entry, grace bool) bool {
+func (t *Tracker) endRegistration(from change, r *record, e Entry, own bool) bool {
 	if r.condition() == ConditionGone {
+		if e.Offset >= r.endedBefore {
+			r.sequence = t.recordChange()
+		}
 		r.end(e)
 		return false
 	}
@@ -259,7 +322,7 @@
 		t.logNotApplied(from, r, e)
 		return false
 	}
-	if until := t.recoveredAt.Add(outageGracePeriod); grace && now.Before(until) && ready {
+	if until := t.recoveredAt.Add(outageGracePeriod); own && now.Before(until) && ready {
 		if r.expiresAt.IsZero() {
 			r.expiresAt = until
 			t.logger.Info("registration lapsed", append(from.fields(r.ID), zap.Uint64("offset", e.Offset), zap.Duration("grace", until.Sub(now)))...)
@@ -289,6 +352,7 @@
 			t.markGone(change{source: sourceGracePeriod}, r)
 			changed = true
 		case r.condition() == ConditionGone && now.Sub(r.goneAt) > goneTTL:
+			t.replacedSequence = max(t.replacedSequence, r.sequence)
 			delete(t.records, id)
 		}
 	}
@@ -405,6 +469,10 @@
 	// Table is nil if the peer has the current configuration.
 	Table   *router.Table
 	Entries []Entry
+	// Complete says that Entries are those of all instances, not only of those that changed.
+	Complete bool
+	// End is the offset up to which the sender's records cover the registry; zero if unknown.
+	End     uint64
 	Members []Member
 	// TableReadAt and EntriesReadAt are the start times of the reads that confirmed the configuration and the
 	// instances; zero if there were none.
@@ -415,12 +483,15 @@
 func (t *Tracker) ChangesSince(sequence uint64) (Changes, <-chan struct{}) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c := Changes{Sequence: t.sequence, TableReadAt: t.tableReadAt, EntriesReadAt: t.entriesReadAt}
+	c := Changes{
+		Sequence: t.sequence, TableReadAt: t.tableReadAt, EntriesReadAt: t.entriesReadAt, End: t.end,
+		Complete: t.end > 0 && sequence < t.replacedSequence,
+	}
 	if t.table != nil && t.tableSeq > sequence {
 		c.Table = t.table
 	}
 	for _, r := range t.records {
-		if r.sequence > sequence {
+		if c.Complete || r.sequence > sequence {
 			c.Entries = append(c.Entries, r.current())
 		}
 	}
@@ -432,14 +503,20 @@
 	return c, t.changed
 }
 
-// MergeEntries merges entries that a peer knows.
-func (t *Tracker) MergeEntries(peer netip.AddrPort, es []Entry) {
-	from := t.change(peer.String())
+// MergeInstances merges the instances that a peer knows, and the age of its view.
+func (t *Tracker) MergeInstances(peer netip.AddrPort, c Changes) {
 	t.mu.Lock()
-	changed := false
-	for _, e := range es {
-		changed = t.apply(from, e, false) || changed
+	from := t.change(peer.String())
+	t.noteGap(c.EntriesReadAt)
+	later := c.End > t.end
+	changed := t.applyAll(from, c.Entries, later, false)
+	if c.Complete {
+		changed = t.endUnlisted(from, c.Entries, c.End, false) || changed
+		if later {
+			t.replacedSequence = t.recordChange()
+		}
 	}
+	t.confirm(c.EntriesReadAt, c.End)
 	t.mu.Unlock()
 	if changed {
 		t.onInstancesChange()
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -111,12 +111,12 @@
 			a.ApplyRegistrations(c.Now(), []tracker.Entry{entry(id, int64(n+1), condition)}, false, uint64(n))
 			if rapid.Bool().Draw(t, "told") {
 				ch, _ := a.ChangesSince(seen)
-				b.MergeEntries(peer, ch.Entries)
+				b.MergeInstances(peer, ch)
 				seen = ch.Sequence
 			}
 		}
 		ch, _ := a.ChangesSince(seen)
-		b.MergeEntries(peer, ch.Entries)
+		b.MergeInstances(peer, ch)
 		ids := func(x *tracker.Tracker) map[string]bool {
 			m := map[string]bool{}
 			for _, i := range x.UsableInstances() {
@@ -132,8 +132,10 @@
 	tr, c := newTracker()
 	began := c.Now()
 	c.Advance(time.Second)
-	tr.MarkFresh(began, began)
-	tr.MarkFresh(began.Add(-time.Second), began.Add(-time.Second))
+	for _, readAt := range []time.Time{began, began.Add(-time.Second)} {
+		tr.MarkTableFresh(readAt)
+		tr.ApplyRegistrations(readAt, nil, false, 1)
+	}
 	table, entries := tr.Ages()
 	require.Equal(t, time.Second, table)
 	require.Equal(t, time.Second, entries)
@@ -174,7 +176,8 @@
 	<-done
 	wait()
 	tr.ApplyConfiguration(router.Configuration{Version: 1})
-	tr.MarkFresh(clock.Now(), clock.Now())
+	tr.MarkTableFresh(clock.Now())
+	tr.ApplyRegistrations(clock.Now(), nil, false, 1)
 	<-done
 	tr.WaitUntilKnown(t.Context(), time.Second)
 }
@@ -188,7 +191,7 @@
 	restarted.ApplyRegistrations(c.Now(), []tracker.Entry{entry("i", 3, tracker.ConditionReady)}, true, 4)
 	reader.ApplyRegistrations(c.Now(), []tracker.Entry{gone("i", 9)}, false, 10)
 	ch, _ := reader.ChangesSince(0)
-	restarted.MergeEntries(peer, ch.Entries)
+	restarted.MergeInstances(peer, ch)
 	require.Zero(t, usable(restarted))
 }
 
@@ -198,9 +201,9 @@
 	tr, c := newTracker()
 	tr.ApplyRegistrations(c.Now(), []tracker.Entry{entry("i", 4, tracker.ConditionReady)}, true, 5)
 	tr.ApplyRegistrations(c.Now(), []tracker.Entry{gone("i", 100)}, false, 101)
-	tr.MergeEntries(peer, []tracker.Entry{at(entry("i", 20, tracker.ConditionReady), 90)})
+	tr.MergeInstances(peer, tracker.Changes{Entries: []tracker.Entry{at(entry("i", 20, tracker.ConditionReady), 90)}})
 	require.Zero(t, usable(tr))
-	tr.MergeEntries(peer, []tracker.Entry{at(entry("i", 21, tracker.ConditionReady), 101)})
+	tr.MergeInstances(peer, tracker.Changes{Entries: []tracker.Entry{at(entry("i", 21, tracker.ConditionReady), 101)}})
 	require.Equal(t, 1, usable(tr), "it registered again")
 }
 
@@ -208,7 +211,7 @@
 // history from before takes out of use.
 func TestOldHistoryDoesNotEndLaterRegistration(t *testing.T) {
 	tr, c := newTracker()
-	tr.MergeEntries(peer, []tracker.Entry{at(entry("i", 9, tracker.ConditionReady), 40)})
+	tr.MergeInstances(peer, tracker.Changes{Entries: []tracker.Entry{at(entry("i", 9, tracker.ConditionReady), 40)}})
 	history := []tracker.Entry{at(entry("i", 5, tracker.ConditionReady), 20), gone("i", 30), at(entry("i", 9, tracker.ConditionReady), 40)}
 	tr.ApplyRegistrations(c.Now(), history, false, 41)
 	require.Equal(t, 1, usable(tr))
@@ -223,6 +226,52 @@
 	other, _ := newTracker()
 	other.ApplyRegistrations(c.Now(), []tracker.Entry{at(entry("i", 7, tracker.ConditionReady), 10)}, true, 11)
 	ch, _ := reader.ChangesSince(0)
-	other.MergeEntries(peer, ch.Entries)
+	other.MergeInstances(peer, ch)
 	require.Zero(t, usable(other))
 }
+
+// TestSnapshotOfNewReaderEndsInstancesUnknownToIt guards against an instance that left before a new VM first read the
+// registry, and that its peers go on using once that VM reads for them.
+func TestSnapshotOfNewReaderEndsInstancesUnknownToIt(t *testing.T) {
+	follower, c := newTracker()
+	follower.ApplyRegistrations(c.Now(), []tracker.Entry{entry("i", 1, tracker.ConditionReady), entry("j", 2, tracker.ConditionReady)}, true, 3)
+	reader, _ := newTracker()
+	reader.ApplyRegistrations(c.Now(), []tracker.Entry{entry("j", 2, tracker.ConditionReady)}, true, 9)
+	ch, _ := reader.ChangesSince(0)
+	follower.MergeInstances(peer, ch)
+	require.Equal(t, 1, usable(follower))
+	ch, _ = follower.ChangesSince(0)
+	third, _ := newTracker()
+	third.ApplyRegistrations(c.Now(), []tracker.Entry{entry("i", 1, tracker.ConditionReady), entry("j", 2, tracker.ConditionReady)}, true, 3)
+	third.MergeInstances(peer, ch)
+	require.Equal(t, 1, usable(third), "relayed once more")
+}
+
+// TestRelayedEntryThatSnapshotLacksIsNotUsed guards against an instance that left, and that a VM which never knew it
+// learns from a peer with an older view.
+func TestRelayedEntryThatSnapshotLacksIsNotUsed(t *testing.T) {
+	reader, c := newTracker()
+	reader.ApplyRegistrations(c.Now(), []tracker.Entry{entry("j", 2, tracker.ConditionReady)}, true, 9)
+	reader.MergeInstances(peer, tracker.Changes{Entries: []tracker.Entry{entry("i", 1, tracker.ConditionReady)}, End: 3})
+	require.Equal(t, 1, usable(reader))
+	reader.MergeInstances(peer, tracker.Changes{Entries: []tracker.Entry{at(entry("k", 1, tracker.ConditionReady), 9)}, End: 10})
+	require.Equal(t, 2, usable(reader), "a later registration")
+}
+
+// TestDroppedRecordsAreTold guards against an instance whose end was forgotten before a peer, cut off for long, learned
+// of it.
+func TestDroppedRecordsAreTold(t *testing.T) {
+	reader, c := newTracker()
+	peerOf := tracker.New(c, zap.NewNop())
+	reader.ApplyRegistrations(c.Now(), []tracker.Entry{entry("i", 1, tracker.ConditionReady)}, true, 2)
+	ch, _ := reader.ChangesSince(0)
+	peerOf.MergeInstances(peer, ch)
+	require.Equal(t, 1, usable(peerOf))
+	reader.ApplyRegistrations(c.Now(), []tracker.Entry{gone("i", 2)}, false, 3)
+	c.Advance(10 * time.Minute)
+	reader.Expire()
+	require.Empty(t, reader.Entries())
+	ch, _ = reader.ChangesSince(ch.Sequence)
+	peerOf.MergeInstances(peer, ch)
+	require.Zero(t, usable(peerOf))
+}
