Start the grace period of registrations only after an outage

A VM could go on using an instance for up to 2 s after it had read that the instance's registration ended, and for up to 3.8 s after the end itself, while the store was well. Cause: a gap of 1.2 s between two views counted as an outage of the store. The VM that reads for others may have been lost, slow or replaced as well: followers then read at an age of 1.5 s to 1.8 s. A VM that had been cut off or paused itself also passed its grace period on, as its peers took its view for fresh. The end of the grace period was counted from the first read, which may come 1.5 s and more after the store is back. Change: an outage is a view older than 2 s together with a failed read of this VM since. The grace period ends 2.5 s after the start of the last failed read, for the store may have been back right then, and 1.8 s after the end became known. Peers learn of an end at once and decide for themselves. Tests: TestGapBetweenReadsIsNoOutage and TestLapsedInstancesAreNotRelayed fail on the code before (one instance usable). TestRegistrationsOutliveOutage has a failed read now, and covers relayed ends too.";

--- a/internal/relayer/loops.go
+++ b/internal/relayer/loops.go
@@ -262,6 +262,7 @@
 			began := r.Clock.Now()
 			got, err := r.Source.Registrations(ctx, after)
 			if err != nil {
+				r.Tracker.MarkUnread(began)
 				return err
 			}
 			r.Tracker.ApplyRegistrations(began, got.Items, got.Snapshot, got.Next.Offset)
--- a/internal/tracker/record.go
+++ b/internal/tracker/record.go
@@ -15,15 +15,15 @@
 	// sequence is the tracker's sequence number of the last change.
 	sequence uint64
 	goneAt   time.Time
-	// expiresAt is when an ended registration stops being used unless the instance registers again; zero if it is not
-	// used any more, or has not ended.
+	// expiresAt is when an instance whose registration has ended is taken out of use unless it registers again; zero if
+	// it is out of use, or has not ended.
 	expiresAt time.Time
 }
 
 // current returns the entry as peers get it.
 func (r *record) current() Entry {
 	e := r.Entry
-	if r.Offset < r.endedBefore && r.expiresAt.IsZero() {
+	if r.Offset < r.endedBefore {
 		e.Condition, e.Offset = ConditionGone, r.endedBefore-1
 	}
 	return e
@@ -32,6 +32,9 @@
 // condition returns the condition of the instance.
 func (r *record) condition() Condition { return r.current().Condition }
 
+// usable reports whether the instance may get new requests.
+func (r *record) usable() bool { return r.condition() == ConditionReady || !r.expiresAt.IsZero() }
+
 // end notes the end of a registration, as e says, and reports whether it ends the newest report.
 func (r *record) end(e Entry) bool {
 	r.endedBefore = max(r.endedBefore, e.Offset+1)
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -16,10 +16,16 @@
 )
 
 const (
-	// outageThreshold is the time without reads of the registry from which it counts as an outage.
-	outageThreshold = 1200 * time.Millisecond
-	// outageGracePeriod is how long after an outage an instance whose registration lapsed may take to register again.
-	outageGracePeriod = 2 * time.Second
+	// outageThreshold is the age of the view from which failed reads of the registry count as an outage. No
+	// registration lapses in a shorter one.
+	outageThreshold = 2 * time.Second
+	// outageGracePeriod is how long after the last failed read began an instance whose registration lapsed may take to
+	// register again. The outage may have ended right then, and 3 s after its end all ended registrations must be out
+	// of use.
+	outageGracePeriod = 2500 * time.Millisecond
+	// maxLapsedUse is how long an ended registration is used at most. It is shorter than the time that a leaving
+	// instance still serves.
+	maxLapsedUse = 1800 * time.Millisecond
 	// goneTTL is how long an ended registration is kept, so that peers learn of its end.
 	goneTTL = 2 * time.Minute
 )
@@ -46,10 +52,12 @@
 	// latest record that was dropped. A peer with changes up to a lower one gets all records, since it may know
 	// instances whose end is not among the changes.
 	replacedSequence uint64
-	// recoveredAt is when the registry was first read again after the last outage.
-	recoveredAt time.Time
-	records     map[string]*record
-	members     map[netip.AddrPort]*member
+	// unreadAt is the start time of the latest read of the registry that failed.
+	unreadAt time.Time
+	// graceUntil is the end of the grace period after the last outage.
+	graceUntil time.Time
+	records    map[string]*record
+	members    map[netip.AddrPort]*member
 	// sortedMembers are the members in order of address; nil after a change. The slice is never modified once it is
 	// set.
 	sortedMembers     []Member
@@ -130,11 +138,21 @@
 	}
 }
 
-// noteGap starts the grace period if a view of the instances that was read at the given time follows a long time without
-// one. t.mu must be held.
-func (t *Tracker) noteGap(readAt time.Time) {
-	if !t.entriesReadAt.IsZero() && readAt.Sub(t.entriesReadAt) > outageThreshold {
-		t.recoveredAt = t.clock.Now()
+// MarkUnread records that a read of the registry which began at the given time failed.
+func (t *Tracker) MarkUnread(began time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if began.After(t.unreadAt) {
+		t.unreadAt = began
+	}
+}
+
+// noteOutage starts the grace period if a view of the instances that was read at the given time is the first after an
+// outage: this VM could not read the registry and knew no newer view from its peers. A gap between two views alone is
+// none, since the VM that reads for this one may have been lost. t.mu must be held.
+func (t *Tracker) noteOutage(readAt time.Time) {
+	if readAt.Sub(t.entriesReadAt) > outageThreshold && t.unreadAt.After(t.entriesReadAt) {
+		t.graceUntil = t.unreadAt.Add(outageGracePeriod)
 	}
 }
 
@@ -164,12 +182,12 @@
 func (t *Tracker) ApplyRegistrations(began time.Time, es []Entry, snapshot bool, end uint64) {
 	t.mu.Lock()
 	from := t.change(sourceStore)
-	t.noteGap(began)
+	t.noteOutage(began)
 	// A later snapshot than what is known is the truth even about instances that are unknown here.
 	latest := snapshot && end >= t.end
 	changed := t.applyAll(from, es, latest, true)
 	if snapshot {
-		changed = t.endUnlisted(from, es, end, true) || changed
+		changed = t.endUnlisted(from, es, end) || changed
 	}
 	if latest {
 		t.replacedSequence = t.recordChange()
@@ -198,7 +216,7 @@
 
 // endUnlisted ends the registrations from before an offset that are not among the given entries, and reports whether the
 // usable instances changed. t.mu must be held.
-func (t *Tracker) endUnlisted(from change, es []Entry, end uint64, own bool) bool {
+func (t *Tracker) endUnlisted(from change, es []Entry, end uint64) bool {
 	if end == 0 {
 		return false
 	}
@@ -209,7 +227,7 @@
 	changed := false
 	for id, r := range t.records {
 		if !listed[id] {
-			changed = t.endRegistration(from, r, endedAt(id, end-1), own) || changed
+			changed = t.endRegistration(from, r, endedAt(id, end-1)) || changed
 		}
 	}
 	return changed
@@ -235,7 +253,7 @@
 		t.records[e.ID] = r
 		return false
 	}
-	return t.endRegistration(from, r, e, own)
+	return t.endRegistration(from, r, e)
 }
 
 // sourceStore is the source of changes that this VM read from the registry; that of others is the peer's address.
@@ -306,50 +324,56 @@
 	return true
 }
 
-// endRegistration ends a registration at once or, shortly after an outage of the registry, at the end of the grace
-// period. It reports whether the usable instances changed. t.mu must be held.
-func (t *Tracker) endRegistration(from change, r *record, e Entry, own bool) bool {
-	if r.condition() == ConditionGone {
+// endRegistration ends a registration. The instance is not used any more, or only until the end of the grace period if
+// there was an outage of the registry; peers learn of the end at once and decide for themselves. It reports whether the
+// usable instances changed. t.mu must be held.
+func (t *Tracker) endRegistration(from change, r *record, e Entry) bool {
+	previous := r.condition()
+	if previous == ConditionGone {
 		if e.Offset >= r.endedBefore {
 			r.sequence = t.recordChange()
 		}
 		r.end(e)
 		return false
 	}
-	now := t.clock.Now()
-	ready := r.condition() == ConditionReady
 	if !r.end(e) {
 		t.logNotApplied(from, r, e)
 		return false
 	}
-	if until := t.recoveredAt.Add(outageGracePeriod); own && now.Before(until) && ready {
-		if r.expiresAt.IsZero() {
-			r.expiresAt = until
-			t.logger.Info("registration lapsed", append(from.fields(r.ID), zap.Uint64("offset", e.Offset), zap.Duration("grace", until.Sub(now)))...)
-		}
+	now := t.clock.Now()
+	r.goneAt = now
+	r.sequence = t.recordChange()
+	if previous == ConditionReady && now.Before(t.graceUntil) {
+		r.expiresAt = earlier(t.graceUntil, now.Add(maxLapsedUse))
+		t.logger.Info("registration lapsed", append(from.fields(r.ID), zap.Uint64("offset", e.Offset), zap.Duration("grace", r.expiresAt.Sub(now)))...)
 		return false
 	}
-	t.markGone(from, r)
+	t.logGone(from, r)
 	return true
 }
 
-// markGone takes a record whose registration has ended out of use.
-func (t *Tracker) markGone(from change, r *record) {
-	r.goneAt, r.expiresAt = t.clock.Now(), time.Time{}
-	r.sequence = t.recordChange()
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+func (t *Tracker) logGone(from change, r *record) {
 	t.logger.Info("instance", append(from.fields(r.ID), zap.String("service", r.Service), zap.Stringer("condition", r.condition()),
 		zap.Int64("sequenceNumber", r.SequenceNumber), zap.Uint64("offset", r.endedBefore-1))...)
 }
 
-// expire ends the registrations whose grace period is over, and drops those that ended more than goneTTL ago. t.mu must
-// be held.
+// expire takes the instances whose grace period is over out of use, and drops the records of registrations that ended
+// more than goneTTL ago. It reports whether the usable instances changed. t.mu must be held.
 func (t *Tracker) expire() bool {
 	now := t.clock.Now()
 	changed := false
 	for id, r := range t.records {
 		switch {
 		case !r.expiresAt.IsZero() && !now.Before(r.expiresAt):
-			t.markGone(change{source: sourceGracePeriod}, r)
+			r.expiresAt = time.Time{}
+			t.logGone(change{source: sourceGracePeriod}, r)
 			changed = true
 		case r.condition() == ConditionGone && now.Sub(r.goneAt) > goneTTL:
 			t.replacedSequence = max(t.replacedSequence, r.sequence)
@@ -359,7 +383,7 @@
 	return changed
 }
 
-// Expire ends the registrations whose grace period is over.
+// Expire takes the instances whose grace period is over out of use.
 func (t *Tracker) Expire() {
 	t.mu.Lock()
 	changed := t.expire()
@@ -373,7 +397,7 @@
 func (t *Tracker) MarkMoved(id string) {
 	t.mu.Lock()
 	r := t.records[id]
-	changed := r != nil && r.condition() == ConditionReady
+	changed := r != nil && r.usable()
 	if changed {
 		r.end(endedAt(id, r.Offset))
 		r.goneAt, r.expiresAt = t.clock.Now(), time.Time{}
@@ -392,7 +416,7 @@
 	defer t.mu.Unlock()
 	var is []balancer.Instance
 	for _, r := range t.records {
-		if r.condition() == ConditionReady {
+		if r.usable() {
 			is = append(is, r.Instance)
 		}
 	}
@@ -404,7 +428,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.records[id]
-	return r != nil && r.condition() == ConditionReady, t.clock.Since(t.entriesReadAt)
+	return r != nil && r.usable(), t.clock.Since(t.entriesReadAt)
 }
 
 // Entries returns the entries of all known instances, in no particular order.
@@ -507,11 +531,11 @@
 func (t *Tracker) MergeInstances(peer netip.AddrPort, c Changes) {
 	t.mu.Lock()
 	from := t.change(peer.String())
-	t.noteGap(c.EntriesReadAt)
+	t.noteOutage(c.EntriesReadAt)
 	later := c.End > t.end
 	changed := t.applyAll(from, c.Entries, later, false)
 	if c.Complete {
-		changed = t.endUnlisted(from, c.Entries, c.End, false) || changed
+		changed = t.endUnlisted(from, c.Entries, c.End) || changed
 		if later {
 			t.replacedSequence = t.recordChange()
 		}
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -84,18 +84,90 @@
 }
 
 // TestRegistrationsOutliveOutage checks that instances whose registration lapsed during an outage of the store remain
-// usable for two seconds after it, and no longer.
+// usable for about two seconds after it, and no longer, also where the end of the registration is relayed.
 func TestRegistrationsOutliveOutage(t *testing.T) {
-	tr, c := newTracker()
-	tr.ApplyRegistrations(c.Now(), []tracker.Entry{entry("i", 5, tracker.ConditionReady), entry("j", 5, tracker.ConditionReady)}, true, 6)
-	c.Advance(6 * time.Second)
-	tr.ApplyRegistrations(c.Now(), nil, true, 20)
-	require.Equal(t, 2, usable(tr))
-	c.Advance(1500 * time.Millisecond)
-	tr.ApplyRegistrations(c.Now(), []tracker.Entry{at(entry("i", 9, tracker.ConditionReady), 20)}, false, 21)
-	c.Advance(time.Second)
-	tr.Expire()
-	require.Equal(t, 1, usable(tr), "one instance registered again")
+	for _, relayed := range []bool{false, true} {
+		tr, c := newTracker()
+		apply := func(es []tracker.Entry, snapshot bool, end uint64) {
+			if relayed {
+				tr.MergeInstances(peer, tracker.Changes{Entries: es, Complete: snapshot, End: end, EntriesReadAt: c.Now()})
+				return
+			}
+			tr.ApplyRegistrations(c.Now(), es, snapshot, end)
+		}
+		apply([]tracker.Entry{entry("i", 5, tracker.ConditionReady), entry("j", 5, tracker.ConditionReady)}, true, 6)
+		c.Advance(5500 * time.Millisecond)
+		tr.MarkUnread(c.Now())
+		c.Advance(500 * time.Millisecond)
+		apply(nil, true, 20)
+		require.Equal(t, 2, usable(tr))
+		c.Advance(1500 * time.Millisecond)
+		apply([]tracker.Entry{at(entry("i", 9, tracker.ConditionReady), 20)}, false, 21)
+		require.Equal(t, 2, usable(tr))
+		c.Advance(500 * time.Millisecond)
+		tr.Expire()
+		require.Equal(t, 1, usable(tr), "one instance registered again")
+		apply([]tracker.Entry{gone("i", 21)}, false, 22)
+		require.Zero(t, usable(tr), "the grace period is over")
+	}
+}
+
+// TestGapBetweenReadsIsNoOutage guards against a VM that goes on using removed instances because the VM that read for it
+// was lost.
+func TestGapBetweenReadsIsNoOutage(t *testing.T) {
+	for _, relayed := range []bool{false, true} {
+		tr, c := newTracker()
+		tr.ApplyRegistrations(c.Now(), []tracker.Entry{entry("i", 5, tracker.ConditionReady)}, true, 6)
+		c.Advance(2500 * time.Millisecond)
+		if relayed {
+			tr.MergeInstances(peer, tracker.Changes{Entries: []tracker.Entry{gone("i", 6)}, End: 7, EntriesReadAt: c.Now()})
+		} else {
+			tr.ApplyRegistrations(c.Now(), []tracker.Entry{gone("i", 6)}, false, 7)
+		}
+		require.Zero(t, usable(tr))
+	}
+}
+
+// TestLapsedInstancesAreNotRelayed guards against a VM that was cut off from the store, and whose grace period its peers
+// take over.
+func TestLapsedInstancesAreNotRelayed(t *testing.T) {
+	cutOff, c := newTracker()
+	cutOff.ApplyRegistrations(c.Now(), []tracker.Entry{entry("i", 5, tracker.ConditionReady)}, true, 6)
+	ch, _ := cutOff.ChangesSince(0)
+	other := tracker.New(c, zap.NewNop())
+	other.MergeInstances(peer, ch)
+	c.Advance(4 * time.Second)
+	cutOff.MarkUnread(c.Now())
+	c.Advance(100 * time.Millisecond)
+	cutOff.ApplyRegistrations(c.Now(), []tracker.Entry{gone("i", 6)}, false, 7)
+	require.Equal(t, 1, usable(cutOff))
+	ch, _ = cutOff.ChangesSince(ch.Sequence)
+	other.MergeInstances(peer, ch)
+	require.Zero(t, usable(other))
+}
+
+// TestGracePeriodEndsBeforeRemovalsBind guards against removed instances that are still used 3 s after the earliest time
+// at which the store may have been back, or 2 s after the removal became known.
+func TestGracePeriodEndsBeforeRemovalsBind(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tr, c := newTracker()
+		tr.ApplyRegistrations(c.Now(), []tracker.Entry{entry("i", 5, tracker.ConditionReady)}, true, 6)
+		c.Advance(time.Duration(rapid.IntRange(0, 10000).Draw(t, "outage")) * time.Millisecond)
+		unread := c.Now()
+		tr.MarkUnread(unread)
+		c.Advance(time.Duration(rapid.IntRange(1, 4000).Draw(t, "pause")) * time.Millisecond)
+		known := c.Now()
+		tr.ApplyRegistrations(known, []tracker.Entry{gone("i", 6)}, false, 7)
+		for range 40 {
+			tr.Expire()
+			if usable(tr) > 0 {
+				require.Less(t, c.Since(unread), 3*time.Second)
+				require.Less(t, c.Since(known), 2*time.Second)
+			}
+			c.Advance(100 * time.Millisecond)
+		}
+		require.Zero(t, usable(tr))
+	})
 }
 
 // TestPeersLearnAllChanges checks that a tracker that learns only from another's changes, some of them lost, ends with
