--- a/cmd/standin/emulator/store.go
+++ b/cmd/standin/emulator/store.go
@@ -170,6 +170,9 @@
 	writeJSON(w, map[string]int{"Offset": offset, "End": len(s.topic(name).records)})
 }
 
+// maxReadBytes is the most that one read returns, unless its first record alone is longer.
+const maxReadBytes = 1 << 20
+
 func (s *Store) serveRead(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	from, _ := strconv.Atoi(q.Get("From"))
@@ -187,7 +190,10 @@
 		if from < len(t.records) || ms == 0 {
 			b := binary.BigEndian.AppendUint64(nil, uint64(len(t.records)))
 			b = binary.BigEndian.AppendUint64(b, uint64(t.first))
-			for _, rec := range t.records[min(from, len(t.records)):] {
+			for i, rec := range t.records[min(from, len(t.records)):] {
+				if i > 0 && len(b)+4+len(rec.encoded) > maxReadBytes {
+					break
+				}
 				b = binary.BigEndian.AppendUint32(b, uint32(len(rec.encoded)))
 				b = append(b, rec.encoded...)
 			}
