Date a relayed view by the time at which its ages were taken

A view could look younger at a VM than it was, by the time that its busy peer took to complete the reply. Cause: the ages in a reply were taken first and the time that it was held last, after the loads were collected; the receiver dates the view by the sum. Evidence: by reading; 0.2 s in the test. Change: both are taken at the same time. Test: TestAgeCountsTimeToCompleteAReply fails on the code before (1.001 s for 1.2 s)."

--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -239,9 +239,11 @@
 		sequence = 0
 	}
 	c := r.awaitChanges(ctx, sequence, b, time.Duration(m.GetWaitMs())*time.Millisecond)
-	rep := r.encodeChanges(c)
-	r.mu.Lock()
 	now := r.Clock.Now()
+	rep := r.encodeChanges(now, c)
+	// The ages in the reply are those at the end of this time; what follows may take long on a busy VM.
+	rep.HeldMs = uint32(now.Sub(began).Milliseconds())
+	r.mu.Lock()
 	b.repliedAt = now
 	if rep.LoadsKnown = now.Sub(b.loadsSentAt) >= r.reportInterval(m.GetLeader()); rep.LoadsKnown {
 		b.loadsSentAt = now
@@ -258,7 +260,6 @@
 		r.mu.Unlock()
 	}
 	rep.Live, rep.LiveFleet = r.liveCounts()
-	rep.HeldMs = uint32(r.Clock.Since(began).Milliseconds())
 	return rep
 }
 
@@ -319,8 +320,7 @@
 	return c
 }
 
-func (r *Relayer) encodeChanges(c tracker.Changes) *wire.Beliefs {
-	now := r.Clock.Now()
+func (r *Relayer) encodeChanges(now time.Time, c tracker.Changes) *wire.Beliefs {
 	rep := &wire.Beliefs{
 		Incarnation: r.Self.Incarnation, Sequence: c.Sequence,
 		ConfigurationKnown: !c.TableReadAt.IsZero(), InstancesKnown: !c.EntriesReadAt.IsZero(),
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -218,3 +218,31 @@
 	}
 	require.GreaterOrEqual(t, served, 40)
 }
+
+// slowStats takes a while to collect the loads.
+type slowStats struct {
+	discardStats
+	clock *clockwork.FakeClock
+}
+
+func (s slowStats) InFlight() map[string]int {
+	s.clock.Advance(200 * time.Millisecond)
+	return nil
+}
+
+// TestAgeCountsTimeToCompleteAReply guards against a view that looks younger than it is because the peer was slow to
+// complete its reply.
+func TestAgeCountsTimeToCompleteAReply(t *testing.T) {
+	f := newFleet(2, 1)
+	follower, leader := 0, 1
+	if f.relayers[0].IsLeader() {
+		follower, leader = 1, 0
+	}
+	f.relayers[leader].InstanceStats = slowStats{clock: f.clock}
+	readAt := f.clock.Now()
+	f.trackers[leader].ApplyRegistrations(readAt, nil, true, 1)
+	f.clock.Advance(time.Second)
+	f.relayers[follower].Refresh(context.Background())
+	_, age := f.trackers[follower].Ages()
+	require.GreaterOrEqual(t, age, f.clock.Since(readAt))
+}
