Derive the age at which VMs read the registry from DrainS

A VM whose leader had lost the store could send a request to an instance up to 2.15 s after the instance had left, while 2 s are allowed. Cause: a follower read for itself at an age of 1.5 s to 1.8 s; with 0.1 s for the read and up to 0.25 s to open a connection that is 2.15 s. The ages were fixed, whatever DrainS a deployment has (2 s, 2.5 s and 3 s). Change: leaders read at 0.55 of DrainS, followers at 0.65 to 0.8 of it; the registry is read for the fleet every 0.5 s or every quarter of DrainS. The ages for the configuration stay. Test: TestRequestsReachNoInstanceAfterTheDrainTimeout adds up the oldest view, the read, the relay and the connection for each DrainS; with the values before the sum is 2.15 s for 2 s."

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -17,9 +17,9 @@
 )
 
 const (
-	// connectTimeout bounds the opening of a connection. Links have a latency of 1 ms, and a lost packet is
+	// ConnectTimeout bounds the opening of a connection. Links have a latency of 1 ms, and a lost packet is
 	// retransmitted only after 1 s; by then another instance has responded.
-	connectTimeout = 250 * time.Millisecond
+	ConnectTimeout = 250 * time.Millisecond
 	// maxBufferedBody is the longest response body that is buffered until it is complete, in bytes; longer ones are
 	// streamed.
 	maxBufferedBody = 256 << 10
@@ -89,7 +89,7 @@
 func New(h HeaderNames, maxIdle int, clock clockwork.Clock) *Forwarder {
 	return &Forwarder{
 		headers: h, clock: clock, pool: newPool(maxIdle, clock),
-		dialer: net.Dialer{Timeout: connectTimeout, Control: setUserTimeout},
+		dialer: net.Dialer{Timeout: ConnectTimeout, Control: setUserTimeout},
 	}
 }
 
--- a/internal/relayer/constants.go
+++ b/internal/relayer/constants.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// configurationStaleness is the staleness of the configuration: a change must be in force within 2 s. In normal
+// operation, the configuration reaches an age of 1.3 s.
+var configurationStaleness = staleness{leader: 1100 * time.Millisecond, follower: 1500 * time.Millisecond, jitter: 300 * time.Millisecond}
+
 const (
 	// exchangeWait is how long a leader delays its reply to a follower while it has no changes. It also bounds the
 	// age of load reports, so it is well below the run time of a request: at half load, reports that are 0.3 s old
@@ -33,20 +37,17 @@
 	// configurationPollWait is how long a leader's read of the configuration waits for a change. The leader's
 	// configuration reaches the age of two such reads.
 	configurationPollWait = 600 * time.Millisecond
-	// registrationPollInterval is the time between two reads of the registry for the fleet. All VMs must stop using
-	// a leaving instance within 2 s.
+	// registrationPollInterval is the time between two reads of the registry for the fleet, unless registrationPollShare
+	// of the drain timeout is less.
 	registrationPollInterval = 500 * time.Millisecond
+	registrationPollShare    = 0.25
 	// peerPollInterval is the time between two reads of the list of VMs for the fleet.
 	peerPollInterval = 3 * time.Second
-	// staleAfter is the age from which a VM reads the store itself: its leader may have lost the store, and a change
-	// must be in force within 2 s. In normal operation, a follower's state reaches an age of 1.3 s.
-	staleAfter = 1500 * time.Millisecond
-	// leaderStaleAfter is the staleAfter of the domains' leaders, which relay what they read. It is lower so that
-	// not every VM reads the store when the VM that reads for the fleet cannot. In normal operation, a leader's state
-	// reaches an age of 0.8 s.
-	leaderStaleAfter = 1100 * time.Millisecond
-	// staleJitter spreads the reads of VMs whose state becomes stale at the same time.
-	staleJitter = 300 * time.Millisecond
+	// leaderStaleShare, followerStaleShare and staleJitterShare are the staleness of the instances as shares of the drain
+	// timeout. After the read, the request has yet to reach the instance.
+	leaderStaleShare   = 0.55
+	followerStaleShare = 0.65
+	staleJitterShare   = 0.15
 	// staleReadInterval is the minimum time between two reads of one VM because of stale state.
 	staleReadInterval = 700 * time.Millisecond
 	// storeTimeout bounds a call to the store, in addition to the wait that the call requests.
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -53,7 +53,7 @@
 		k.loadsSentAt = began
 	}
 	r.applyBeliefs(to, leader, began, k.loadsSentAt, b)
-	if wait > 0 && !leader && !fresh(b) {
+	if wait > 0 && !leader && !r.fresh(b) {
 		return errStale
 	}
 	return nil
@@ -84,10 +84,11 @@
 	}
 }
 
-func fresh(b *wire.Beliefs) bool {
+// fresh reports whether the state of a leader is recent enough to poll it.
+func (r *Relayer) fresh(b *wire.Beliefs) bool {
 	return b.GetConfigurationKnown() && b.GetInstancesKnown() &&
-		time.Duration(b.GetConfigurationAgeMs())*time.Millisecond < staleAfter &&
-		time.Duration(b.GetInstancesAgeMs())*time.Millisecond < staleAfter
+		time.Duration(b.GetConfigurationAgeMs())*time.Millisecond < configurationStaleness.follower &&
+		time.Duration(b.GetInstancesAgeMs())*time.Millisecond < r.instancesStaleness().follower
 }
 
 // applyBeliefs applies the state of a peer. The ages in it are counted from the start of the exchange plus the time
--- a/internal/relayer/leader_test.go
+++ b/internal/relayer/leader_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
@@ -38,7 +39,7 @@
 		for _, o := range ms {
 			t.UpdateMember(o)
 		}
-		rs = append(rs, New(Options{Self: m.VM, Capacity: m.Capacity, Tracker: t, Clock: clock, Logger: zap.NewNop()}))
+		rs = append(rs, New(Options{Self: m.VM, Capacity: m.Capacity, DrainTimeout: 2 * time.Second, Tracker: t, Clock: clock, Logger: zap.NewNop()}))
 	}
 	return rs
 }
--- a/internal/relayer/loops.go
+++ b/internal/relayer/loops.go
@@ -154,6 +154,7 @@
 	// again at once.
 	responsible func() bool
 	interval    time.Duration
+	stale       staleness
 	// age returns the age of the data that the reads confirm; ok is false if there is none.
 	age func() (age time.Duration, ok bool)
 	// read reads the store, waiting for changes for up to wait.
@@ -162,12 +163,33 @@
 	wait time.Duration
 }
 
+// staleness holds the ages of data from which a VM reads the store itself although another VM should: its leader may
+// have lost the store.
+type staleness struct {
+	// leader is the age for the domains' leaders, which relay what they read. It is lower so that not every VM reads the
+	// store when the VM that reads for the fleet cannot.
+	leader time.Duration
+	// follower is the age for all others, and jitter spreads the reads of those whose data becomes stale together.
+	follower, jitter time.Duration
+}
+
+// instancesStaleness returns the staleness of the instances.
+func (r *Relayer) instancesStaleness() staleness {
+	share := func(x float64) time.Duration { return time.Duration(x * float64(r.DrainTimeout)) }
+	return staleness{leader: share(leaderStaleShare), follower: share(followerStaleShare), jitter: share(staleJitterShare)}
+}
+
+// registrationInterval returns the time between two reads of the registry for the fleet.
+func (r *Relayer) registrationInterval() time.Duration {
+	return min(registrationPollInterval, time.Duration(registrationPollShare*float64(r.DrainTimeout)))
+}
+
 // staleThreshold returns the age of data from which this VM reads the store itself although another VM should.
-func (r *Relayer) staleThreshold(jitter time.Duration) time.Duration {
+func (r *Relayer) staleThreshold(s staleness, jitter time.Duration) time.Duration {
 	if r.IsLeader() {
-		return leaderStaleAfter
+		return s.leader
 	}
-	return staleAfter + jitter
+	return s.follower + jitter
 }
 
 // nextBackoff returns the delay after another failed read. It is longer where other VMs read for this one: they will
@@ -182,13 +204,13 @@
 
 // poll reads while this VM reads for others, and when its data is stale.
 func (r *Relayer) poll(ctx context.Context, p poller) {
-	jitter := rand.N(staleJitter)
+	jitter := rand.N(p.stale.jitter)
 	failingSince := time.Time{}
 	var backoff time.Duration
 	for ctx.Err() == nil {
 		responsible := p.responsible()
 		a, ok := p.age()
-		if t := r.staleThreshold(jitter); !responsible && ok && a < t {
+		if t := r.staleThreshold(p.stale, jitter); !responsible && ok && a < t {
 			r.sleep(ctx, min(t-a+time.Millisecond, tickInterval))
 			continue
 		}
@@ -227,7 +249,7 @@
 func (r *Relayer) readConfiguration(ctx context.Context) {
 	var after Position
 	r.poll(ctx, poller{
-		name: "configuration", wait: configurationPollWait, responsible: r.IsLeader,
+		name: "configuration", wait: configurationPollWait, responsible: r.IsLeader, stale: configurationStaleness,
 		age: func() (time.Duration, bool) {
 			t, at := r.Tracker.Table()
 			return r.Clock.Since(at), t != nil
@@ -253,7 +275,7 @@
 func (r *Relayer) readRegistrations(ctx context.Context) {
 	var after Position
 	r.poll(ctx, poller{
-		name: "registrations", interval: registrationPollInterval, responsible: r.readsForFleet,
+		name: "registrations", interval: r.registrationInterval(), responsible: r.readsForFleet, stale: r.instancesStaleness(),
 		age: func() (time.Duration, bool) {
 			_, a := r.Tracker.Ages()
 			return a, a < time.Hour // Before the first read, the age counts from the zero time.
@@ -276,7 +298,7 @@
 	var after Position
 	readAt := time.Time{}
 	r.poll(ctx, poller{
-		name: "peers", interval: peerPollInterval, responsible: func() bool { return readAt.IsZero() || r.readsForFleet() },
+		name: "peers", interval: peerPollInterval, stale: configurationStaleness, responsible: func() bool { return readAt.IsZero() || r.readsForFleet() },
 		age: func() (time.Duration, bool) { return 0, !readAt.IsZero() },
 		read: func(ctx context.Context, _ time.Duration) error {
 			got, err := r.Source.Peers(ctx, after)
--- a/internal/relayer/reader_test.go
+++ b/internal/relayer/reader_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"github.com/jacinthproxy/jacinthproxy/internal/forwarder"
 	"github.com/jacinthproxy/jacinthproxy/internal/tracker"
 	"github.com/jacinthproxy/jacinthproxy/pkg/placer"
 )
@@ -19,7 +20,7 @@
 func newTestRelayer(clock *clockwork.FakeClock, leads bool) *Relayer {
 	t := tracker.New(clock, zap.NewNop())
 	self := placer.VM{Address: netip.MustParseAddrPort("10.0.0.1:1"), Domain: "d", Incarnation: 1}
-	r := New(Options{Self: self, Capacity: 1, Tracker: t, Clock: clock, Logger: zap.NewNop()})
+	r := New(Options{Self: self, Capacity: 1, DrainTimeout: 2 * time.Second, Tracker: t, Clock: clock, Logger: zap.NewNop()})
 	r.updateSelf()
 	for i := 2; !leads && r.IsLeader(); i++ {
 		o := placer.VM{Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1), Domain: "d", Incarnation: 1}
@@ -38,7 +39,7 @@
 	ended := make(chan struct{})
 	go func() {
 		r.poll(ctx, poller{
-			name: "test", responsible: r.IsLeader, age: func() (time.Duration, bool) { return time.Duration(age.Load()), true },
+			name: "test", stale: r.instancesStaleness(), responsible: r.IsLeader, age: func() (time.Duration, bool) { return time.Duration(age.Load()), true },
 			read: func(context.Context, time.Duration) error {
 				reads.Add(1)
 				return nil
@@ -53,10 +54,10 @@
 		}
 		require.NoError(t, clock.BlockUntilContext(ctx, 1))
 	}
-	age.Store(int64(staleAfter) - 1)
+	age.Store(int64(r.instancesStaleness().follower) - 1)
 	advance(10 * time.Second)
 	require.Zero(t, reads.Load())
-	age.Store(int64(staleAfter + staleJitter))
+	age.Store(int64(r.instancesStaleness().follower + r.instancesStaleness().jitter))
 	advance(10 * time.Second)
 	require.Positive(t, reads.Load())
 	require.LessOrEqual(t, reads.Load(), int64(10*time.Second/staleReadInterval)+1)
@@ -73,7 +74,7 @@
 	ended := make(chan struct{})
 	go func() {
 		r.poll(ctx, poller{
-			name: "test", interval: registrationPollInterval, responsible: r.IsLeader, age: func() (time.Duration, bool) { return 0, true },
+			name: "test", stale: r.instancesStaleness(), interval: registrationPollInterval, responsible: r.IsLeader, age: func() (time.Duration, bool) { return 0, true },
 			read: func(context.Context, time.Duration) error {
 				reads.Add(1)
 				return nil
@@ -106,7 +107,7 @@
 		ended := make(chan struct{})
 		go func() {
 			r.poll(ctx, poller{
-				name: "test", responsible: r.IsLeader, age: func() (time.Duration, bool) { return time.Hour, true },
+				name: "test", stale: r.instancesStaleness(), responsible: r.IsLeader, age: func() (time.Duration, bool) { return time.Hour, true },
 				read: func(context.Context, time.Duration) error {
 					reads.Add(1)
 					return errStale
@@ -140,7 +141,7 @@
 		ended := make(chan struct{})
 		go func() {
 			r.poll(ctx, poller{
-				name: "test", responsible: r.IsLeader, age: func() (time.Duration, bool) { return clock.Since(known), true },
+				name: "test", stale: r.instancesStaleness(), responsible: r.IsLeader, age: func() (time.Duration, bool) { return clock.Since(known), true },
 				read: func(context.Context, time.Duration) error {
 					select {
 					case first <- clock.Since(known):
@@ -164,10 +165,32 @@
 	}
 }
 
+// drainTimeouts are those of the deployments.
+var drainTimeouts = []time.Duration{2 * time.Second, 2500 * time.Millisecond, 3 * time.Second}
+
 // TestAgesStayBelowTheThresholds adds up the age that data reaches in normal operation: only the VMs that read for
 // others may read the store then.
 func TestAgesStayBelowTheThresholds(t *testing.T) {
-	require.Less(t, registrationPollInterval+leaderExchangeWait, leaderStaleAfter)
-	require.Less(t, registrationPollInterval+leaderExchangeWait+exchangeWait, staleAfter)
-	require.Less(t, 2*configurationPollWait+exchangeWait, staleAfter)
+	for _, d := range drainTimeouts {
+		r := newTestRelayer(clockwork.NewFakeClock(), true)
+		r.DrainTimeout = d
+		s := r.instancesStaleness()
+		require.Less(t, r.registrationInterval()+leaderExchangeWait, s.leader)
+		require.Less(t, r.registrationInterval()+leaderExchangeWait+exchangeWait, s.follower)
+	}
+	require.Less(t, 2*configurationPollWait+exchangeWait, configurationStaleness.follower)
+}
+
+// TestRequestsReachNoInstanceAfterTheDrainTimeout guards against a request that is sent by the oldest view which a VM in
+// touch with the store can have, and reaches an instance later than it may.
+func TestRequestsReachNoInstanceAfterTheDrainTimeout(t *testing.T) {
+	const read = 100 * time.Millisecond
+	for _, d := range drainTimeouts {
+		r := newTestRelayer(clockwork.NewFakeClock(), true)
+		r.DrainTimeout = d
+		s := r.instancesStaleness()
+		relay := leaderExchangeWait + minReplyInterval + exchangeWait
+		require.Less(t, s.follower+s.jitter+read+forwarder.ConnectTimeout, d, "the VM reads the registry itself")
+		require.Less(t, s.leader+read+relay+forwarder.ConnectTimeout, d, "a leader does, and relays")
+	}
 }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -32,7 +32,9 @@
 	// LinkSpeed is the speed of this VM's network link in bit/s; zero if unknown.
 	LinkSpeed float64
 	// RateWindow is the span over which the rates of accounts are enforced.
-	RateWindow    time.Duration
+	RateWindow time.Duration
+	// DrainTimeout is how long an instance that left may still get requests.
+	DrainTimeout  time.Duration
 	Tracker       *tracker.Tracker
 	Messenger     Messenger
 	Source        Source
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -79,7 +79,7 @@
 		t := tracker.New(f.clock, zap.NewNop())
 		t.ApplyConfiguration(router.Configuration{Version: 1, Accounts: []router.Account{f.account}})
 		r := relayer.New(relayer.Options{
-			Self: m.VM, Capacity: 1, RateWindow: 5 * time.Second, Tracker: t, Messenger: link{f.network, m.VM}, InstanceStats: discardStats{},
+			Self: m.VM, Capacity: 1, RateWindow: 5 * time.Second, DrainTimeout: 2 * time.Second, Tracker: t, Messenger: link{f.network, m.VM}, InstanceStats: discardStats{},
 			Clock: f.clock, Logger: zap.NewNop(),
 		})
 		for _, o := range f.members {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -81,7 +81,7 @@
 		Address: s.Peers, CallerAddress: s.Callers, Domain: s.Domain, Incarnation: placer.NewIncarnation(o.Clock.Now()),
 	}
 	r.relayer = relayer.New(relayer.Options{
-		Self: self, Capacity: s.Capacity(), LinkSpeed: s.Link, RateWindow: s.Bounds.RateWindow, Tracker: r.tracker, Source: o.Source, InstanceStats: r.picker, Clock: o.Clock, Logger: o.Logger,
+		Self: self, Capacity: s.Capacity(), LinkSpeed: s.Link, RateWindow: s.Bounds.RateWindow, DrainTimeout: s.Bounds.DrainTimeout, Tracker: r.tracker, Source: o.Source, InstanceStats: r.picker, Clock: o.Clock, Logger: o.Logger,
 	})
 	r.picker.SetReporter(r.relayer)
 	r.messenger = messenger.New(messenger.Options{
--- a/internal/runner/settings.go
+++ b/internal/runner/settings.go
@@ -43,6 +43,8 @@
 type Bounds struct {
 	// MaxKeyAge is how long a key may still be accepted after its withdrawal.
 	MaxKeyAge time.Duration
+	// DrainTimeout is how long an instance that left, or said that it leaves, may still get requests.
+	DrainTimeout time.Duration
 	// StopGracePeriod is the time from a request to stop until the process is killed.
 	StopGracePeriod time.Duration
 	// RetryRatio and RetrySlack bound the retries and hedges of all VMs together: in any RetryWindow there are at
@@ -58,7 +60,7 @@
 // DefaultBounds returns the bounds that apply where the platform sets none.
 func DefaultBounds() Bounds {
 	return Bounds{
-		MaxKeyAge: 5 * time.Second, StopGracePeriod: 6 * time.Second, RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second,
+		MaxKeyAge: 5 * time.Second, DrainTimeout: 2 * time.Second, StopGracePeriod: 6 * time.Second, RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second,
 		RateWindow: 5 * time.Second, MaxAddressTTL: 5 * time.Second,
 	}
 }
