Read the store again within 3 s after it was away

A VM in touch with the store again could still send requests to instances that had left while it or the store was away. Cause: a call could take 1.5 s, and the next follow after up to 1.5 s at a leader and 3 s at other VMs; all changes must be known 3 s after the end of a disturbance. Change: calls take 1 s at most, and the delay is between half of the backoff and all of it, up to 1 s at a leader and 1.8 s at others. Test: TestViewsRecoverBeforeChangesBind adds up the last failed call, the delay, the read and the relay; on the code before the sum is up to 3.45 s and 4.6 s."

--- a/internal/relayer/constants.go
+++ b/internal/relayer/constants.go
@@ -50,15 +50,16 @@
 	staleJitterShare   = 0.15
 	// staleReadInterval is the minimum time between two reads of one VM because of stale state.
 	staleReadInterval = 700 * time.Millisecond
-	// storeTimeout bounds a call to the store, in addition to the wait that the call requests.
-	storeTimeout = 1500 * time.Millisecond
+	// storeTimeout bounds a call to the store, in addition to the wait that the call requests. With the backoff, it is
+	// less than the 3 s after which a VM must know all changes again that it missed while it or the store was away.
+	storeTimeout = time.Second
 	// initialBackoff and maxBackoff bound the delay before a failed call to the store is retried.
 	initialBackoff = 100 * time.Millisecond
 	maxBackoff     = time.Second
 	// followerInitialBackoff and followerMaxBackoff apply to reads that other VMs should have made. A key is accepted
 	// for about 1.5 s after the configuration became stale, which leaves time for two attempts.
 	followerInitialBackoff = 500 * time.Millisecond
-	followerMaxBackoff     = 2 * time.Second
+	followerMaxBackoff     = 1800 * time.Millisecond
 	// tickInterval is how often a VM checks which roles it has.
 	tickInterval = 100 * time.Millisecond
 	// takeTimeout bounds a call to an account's owner. Two crossings of failure domains take 4 ms, but an owner that
--- a/internal/relayer/loops.go
+++ b/internal/relayer/loops.go
@@ -26,7 +26,8 @@
 	}
 }
 
-func jittered(d time.Duration) time.Duration { return d/2 + rand.N(d) }
+// jittered returns a random delay between half of d and d.
+func jittered(d time.Duration) time.Duration { return d/2 + rand.N(d/2) }
 
 // followLeader long-polls the leader of this VM's domain.
 func (r *Relayer) followLeader(ctx context.Context) {
--- a/internal/relayer/reader_test.go
+++ b/internal/relayer/reader_test.go
@@ -194,3 +194,18 @@
 		require.Less(t, s.leader+read+relay+forwarder.ConnectTimeout, d, "a leader does, and relays")
 	}
 }
+
+// TestViewsRecoverBeforeChangesBind guards against a VM that, after it or the store was away, does not know the changes
+// since when it must use them, 3 s later. The last read that fails may begin right before the end.
+func TestViewsRecoverBeforeChangesBind(t *testing.T) {
+	const bound, read = 3 * time.Second, 100 * time.Millisecond
+	for range 1000 {
+		for _, responsible := range []bool{true, false} {
+			recovered := storeTimeout + jittered(nextBackoff(time.Hour, responsible)) + read
+			if responsible {
+				recovered += leaderExchangeWait + minReplyInterval + exchangeWait
+			}
+			require.Less(t, recovered, bound)
+		}
+	}
+}
