Wait for a recent view of the instances before a request is sent

A busy VM could send a request to an instance longer after the instance had left than DrainS allows: its reads came late, and no pick asked how old the view was. Cause: the age of a view was bounded by timers alone. Evidence: by reading, and by the sum in TestRequestsReachNoInstanceAfterTheDrainTimeout, which allows a read 0.1 s; a VM that uses up its share of a core, or wakes up, takes longer. Change: a request waits up to 0.3 s while the view is older than 0.85 of DrainS, unless a read of the registry failed since: there is no later view then, and the request goes on. A hedge does not wait, it is left out. The wait comes before the age of the key is checked. A request that goes on by an old view leaves a line. Tests: TestRequestsWaitForRecentView, TestAwaitView.

--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -69,14 +69,17 @@
 // start sends the request to one more instance. If no further attempt is allowed, ok is false and res is the
 // result of the request unless another attempt is in flight.
 func (r *retrier) start(ctx context.Context, resend bool) (res result, ok bool) {
+	if r.sent >= r.route.Attempts || r.unsent >= maxUnsent {
+		return r.giveUp(), false
+	}
+	if !r.awaitView(ctx) {
+		return r.giveUp(), false
+	}
 	if res, ok := r.checkKeyAge(); !ok && !r.mayHaveRun {
 		return res, false
 	} else if !ok {
 		return r.giveUp(), false
 	}
-	if r.sent >= r.route.Attempts || r.unsent >= maxUnsent {
-		return r.giveUp(), false
-	}
 	if r.sent > 0 && !r.Picker.TakeRetry(r.service) {
 		r.detail = "the budget of retries is used up"
 		return r.giveUp(), false
@@ -108,6 +111,18 @@
 	return result{}, true
 }
 
+// awaitView waits for a recent view of the instances. It returns false if the request should not be sent now.
+func (r *retrier) awaitView(ctx context.Context) bool {
+	maxAge := time.Duration(maxViewFraction * float64(r.DrainTimeout))
+	if len(r.inFlight) > 0 {
+		return r.Tracker.AwaitView(ctx, maxAge, 0) // A hedge is not worth a wait.
+	}
+	if !r.Tracker.AwaitView(ctx, maxAge, viewTimeout) && ctx.Err() == nil {
+		r.Logger.Warn("view of the instances is stale", zap.String("id", r.id), zap.Duration("maxAge", maxAge))
+	}
+	return true
+}
+
 // handleFinished handles a finished attempt; done is true if res is the result of the request.
 func (r *retrier) handleFinished(ctx context.Context, a *attempt) (res result, done bool) {
 	took := r.Clock.Since(a.startedAt)
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -38,6 +38,10 @@
 	// keyAgeFraction is the fraction of Options.MaxKeyAge up to which the configuration is used to accept a key; the
 	// rest allows for the time that the request takes to reach the instance.
 	keyAgeFraction = 0.85
+	// maxViewFraction is the fraction of Options.DrainTimeout up to which a view of the instances is used without waiting
+	// for a later one; the rest is for the connection to the instance. viewTimeout bounds the wait.
+	maxViewFraction = 0.85
+	viewTimeout     = 300 * time.Millisecond
 	// maxDenyAge is the age of the configuration up to which requests are denied. A newer configuration may already
 	// have the unknown route or key.
 	maxDenyAge = 2500 * time.Millisecond
@@ -67,6 +71,9 @@
 	// WaitUntilKnown waits until the configuration and the instances are known, at most for the given time or until the
 	// context ends.
 	WaitUntilKnown(ctx context.Context, timeout time.Duration)
+	// AwaitView waits while the view of the instances is older than maxAge, for up to timeout, and reports whether it is
+	// not. A view is good whatever its age if the registry cannot be read.
+	AwaitView(ctx context.Context, maxAge, timeout time.Duration) bool
 	// Usable reports whether an instance may get new requests, and the age of the view that says so.
 	Usable(instance string) (usable bool, viewAge time.Duration)
 	// MarkMoved marks an instance as no longer present at its address.
@@ -116,6 +123,8 @@
 	Observer    Observer
 	// MaxKeyAge bounds the age of the configuration by which a key is accepted; up to keyAgeFraction of it is used.
 	MaxKeyAge time.Duration
+	// DrainTimeout is how long an instance that left may still get requests.
+	DrainTimeout time.Duration
 	// Started is when this VM started.
 	Started time.Time
 	// Draining reports whether this VM is draining before it stops.
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -38,6 +38,10 @@
 	leaving     bool
 	// left is set if the instances left while requests were in flight there.
 	left bool
+	// stale is set if the view of the instances is too old; viewWaits are the times that requests would wait for another.
+	stale      bool
+	viewWaits  []time.Duration
+	maxViewAge time.Duration
 	// waited is the longest wait that a request asked for, and tableAfterWait the configuration that WaitUntilKnown sets.
 	waited         time.Duration
 	tableAfterWait *router.Table
@@ -66,7 +70,7 @@
 			HeaderNames: forwarder.HeaderNames{RequestID: "Id", Signature: "Sig", NotRun: "Nr"},
 			Key:         "Key", Account: "Account", Deadline: "Deadline", ExpectedInstance: "Expected",
 		},
-		Tracker: f, Admitter: f, Picker: f, Sender: f, Observer: f, MaxKeyAge: 5 * time.Second,
+		Tracker: f, Admitter: f, Picker: f, Sender: f, Observer: f, MaxKeyAge: 5 * time.Second, DrainTimeout: 2 * time.Second,
 		Draining: func() bool { return f.leaving }, Clock: f.clock, Logger: zap.New(core),
 	})
 	return f
@@ -83,6 +87,11 @@
 		f.table = f.tableAfterWait
 	}
 }
+func (f *fixture) AwaitView(_ context.Context, maxAge, timeout time.Duration) bool {
+	f.viewWaits = append(f.viewWaits, timeout)
+	f.maxViewAge = maxAge
+	return !f.stale
+}
 func (f *fixture) Usable(string) (bool, time.Duration) { return !f.left, 40 * time.Millisecond }
 func (f *fixture) MarkMoved(id string)                 { f.moved = append(f.moved, id) }
 func (f *fixture) Admit(context.Context, *router.Account) relayer.Admission {
@@ -114,6 +123,12 @@
 }
 
 func (f *fixture) serve(path, key string) *httptest.ResponseRecorder {
+	rec := httptest.NewRecorder()
+	f.serveTo(rec, path, key)
+	return rec
+}
+
+func (f *fixture) serveTo(w http.ResponseWriter, path, key string) {
 	req := httptest.NewRequest(http.MethodPost, path, strings.NewReader("body"))
 	req.Host = "a"
 	req.Header.Set("Id", "r-1")
@@ -124,9 +139,7 @@
 	if key != "" {
 		req.Header.Set("Key", key)
 	}
-	rec := httptest.NewRecorder()
-	f.receiver.ServeHTTP(rec, req)
-	return rec
+	f.receiver.ServeHTTP(w, req)
 }
 
 // logLine returns the fields of the only log line about the request, found by its id.
@@ -311,3 +324,17 @@
 	require.Equal(t, "i-1", lines[0].ContextMap()["instance"])
 	require.Equal(t, 40*time.Millisecond, lines[0].ContextMap()["viewAge"])
 }
+
+// TestRequestsWaitForRecentView guards against a request that a busy VM sends by a view which is older than an instance
+// that left may still get requests.
+func TestRequestsWaitForRecentView(t *testing.T) {
+	f := newFixture()
+	require.Equal(t, http.StatusOK, f.serve("/safe/", "secret").Code)
+	require.Len(t, f.viewWaits, 1)
+	require.Positive(t, f.viewWaits[0])
+	require.Less(t, f.maxViewAge+forwarder.ConnectTimeout, 2*time.Second)
+	require.Zero(t, f.logs.FilterMessage("view of the instances is stale").Len())
+	f.stale = true
+	require.Equal(t, http.StatusOK, f.serve("/safe/", "secret").Code, "there is no other view")
+	require.Equal(t, 1, f.logs.FilterMessage("view of the instances is stale").Len())
+}
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -60,9 +60,11 @@
 	members    map[netip.AddrPort]*member
 	// sortedMembers are the members in order of address; nil after a change. The slice is never modified once it is
 	// set.
-	sortedMembers     []Member
-	sequence          uint64
-	changed           chan struct{}
+	sortedMembers []Member
+	sequence      uint64
+	changed       chan struct{}
+	// viewed is closed when the view of the instances is confirmed again, or a read of the registry failed.
+	viewed            chan struct{}
 	onInstancesChange func()
 }
 
@@ -70,7 +72,7 @@
 func New(clock clockwork.Clock, logger *zap.Logger) *Tracker {
 	return &Tracker{
 		clock: clock, logger: logger, records: map[string]*record{}, members: map[netip.AddrPort]*member{},
-		changed: make(chan struct{}), onInstancesChange: func() {},
+		changed: make(chan struct{}), viewed: make(chan struct{}), onInstancesChange: func() {},
 	}
 }
 
@@ -144,6 +146,39 @@
 	defer t.mu.Unlock()
 	if began.After(t.unreadAt) {
 		t.unreadAt = began
+		t.notifyViewWaiters()
+	}
+}
+
+// notifyViewWaiters wakes the callers of AwaitView. t.mu must be held.
+func (t *Tracker) notifyViewWaiters() {
+	close(t.viewed)
+	t.viewed = make(chan struct{})
+}
+
+// AwaitView waits while the view of the instances is older than maxAge, for up to timeout, and reports whether it is not.
+// A view is also good, whatever its age, if the registry could not be read since: there is no later one then.
+func (t *Tracker) AwaitView(ctx context.Context, maxAge, timeout time.Duration) bool {
+	var timer clockwork.Timer
+	for {
+		t.mu.Lock()
+		good := t.clock.Since(t.entriesReadAt) <= maxAge || t.unreadAt.After(t.entriesReadAt)
+		viewed := t.viewed
+		t.mu.Unlock()
+		if good || timeout <= 0 {
+			return good
+		}
+		if timer == nil {
+			timer = t.clock.NewTimer(timeout)
+			defer timer.Stop()
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-timer.Chan():
+			return false
+		case <-viewed:
+		}
 	}
 }
 
@@ -167,6 +202,7 @@
 		t.recordChange()
 	}
 	t.entriesReadAt = readAt
+	t.notifyViewWaiters()
 }
 
 // Ages returns the time since the start of the reads that confirmed the configuration and the instances.
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -347,3 +347,34 @@
 	peerOf.MergeInstances(peer, ch)
 	require.Zero(t, usable(peerOf))
 }
+
+// TestAwaitView checks that a caller waits for a recent view, but not if the registry cannot be read, nor for ever.
+func TestAwaitView(t *testing.T) {
+	const maxAge, timeout = 1700 * time.Millisecond, 300 * time.Millisecond
+	tr, c := newTracker()
+	tr.ApplyRegistrations(c.Now(), nil, true, 1)
+	c.Advance(maxAge)
+	require.True(t, tr.AwaitView(t.Context(), maxAge, timeout))
+	c.Advance(time.Millisecond)
+	require.False(t, tr.AwaitView(t.Context(), maxAge, 0))
+	done := make(chan bool)
+	wait := func() {
+		go func() { done <- tr.AwaitView(t.Context(), maxAge, timeout) }()
+		require.NoError(t, c.BlockUntilContext(t.Context(), 1))
+	}
+	wait()
+	c.Advance(timeout)
+	require.False(t, <-done)
+	wait()
+	tr.ApplyRegistrations(c.Now(), nil, false, 1)
+	require.True(t, <-done, "read by this VM")
+	c.Advance(2 * maxAge)
+	wait()
+	tr.MergeInstances(peer, tracker.Changes{End: 1, EntriesReadAt: c.Now()})
+	require.True(t, <-done, "read by a peer")
+	c.Advance(2 * maxAge)
+	wait()
+	tr.MarkUnread(c.Now())
+	require.True(t, <-done, "not readable")
+	require.True(t, tr.AwaitView(t.Context(), maxAge, timeout))
+}
