Bound the head and the discarded body of a response

An instance that sends bytes without end could fill the memory of a VM, or hold a request until its time was up although another instance could have served it. Cause: the head of a response was read without a bound on its size; the body of a response to another request was discarded until its end; a body longer than the buffer was passed on whatever the instance had said before. Change: a head has at most 64 KiB, three of them are read for a request as before; of a body for another request 256 KiB are skipped, and none if the connection ends with it. A body beyond the buffer is returned only if the instance signed it and it is no server error; a refusal counts without its body. Tests: TestEndlessResponsesAreBounded has twelve kinds of endless bytes, each with less than 4 MiB allocated and no wait for the deadline; nine fail on the code before. TestRefusalWithEndlessBodyHasNotRun fails before; TestLongBodyIsPassedOnAsItComes shows that long answers are still passed on.

--- a/cmd/standin/emulator/instance.go
+++ b/cmd/standin/emulator/instance.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -157,3 +158,15 @@
 	Answer(c, r, i)
 	Answer(c, r, i)
 }
+
+// Endless returns a behavior that executes the request, sends a start that may name the request's ID as %s, and then
+// repeats a piece until the client closes the connection.
+func Endless(start, piece string) Behavior {
+	b := []byte(strings.Repeat(piece, 1+(4<<10)/len(piece)))
+	return func(c net.Conn, r *http.Request, _ *Instance) {
+		_, err := io.WriteString(c, strings.ReplaceAll(start, "%s", r.Header.Get("Request-Id")))
+		for err == nil {
+			_, err = c.Write(b)
+		}
+	}
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httputil"
@@ -23,6 +24,8 @@
 	// maxBufferedBody is the longest response body that is buffered until it is complete, in bytes; longer ones are
 	// streamed.
 	maxBufferedBody = 256 << 10
+	// maxHeadBytes bounds the status line and the headers of a response, in bytes.
+	maxHeadBytes = 64 << 10
 	// maxResponsesRead bounds the responses that are read for one request. Interim responses and responses to earlier
 	// requests are skipped.
 	maxResponsesRead = 3
@@ -142,7 +145,8 @@
 		return nil, errors.Wrap(err, "connect")
 	}
 	f.pool.opened.Add(1)
-	return &conn{Conn: nc, to: addr, r: bufio.NewReaderSize(nc, readBufferSize), requests: 1}, nil
+	in := &boundedReader{r: nc}
+	return &conn{Conn: nc, to: addr, in: in, r: bufio.NewReaderSize(in, readBufferSize), requests: 1}, nil
 }
 
 // readBufferSize is the size of the read buffer of a connection, in bytes.
@@ -221,7 +225,9 @@
 // readResponse reads the response to a request and skips interim responses and responses to earlier requests.
 func (f *Forwarder) readResponse(c *conn, r Request) (Response, error) {
 	for range maxResponsesRead {
+		c.in.limit(maxHeadBytes)
 		httpResp, err := http.ReadResponse(c.r, &http.Request{Method: r.Method}) //nolint:bodyclose // Reading to its end or closing the connection ends it.
+		c.in.limit(math.MaxInt64)
 		if err != nil {
 			return Response{}, errors.Wrap(err, "answer")
 		}
@@ -230,7 +236,7 @@
 		}
 		id := httpResp.Header.Get(f.headers.RequestID)
 		if id != "" && id != r.ID {
-			if _, err := io.Copy(io.Discard, httpResp.Body); err != nil || httpResp.Close {
+			if !skipBody(httpResp) {
 				return Response{}, errors.Newf("the answer belongs to request %q", id)
 			}
 			continue
@@ -240,7 +246,17 @@
 	return Response{}, errors.New("too many answers belong to other requests")
 }
 
-// readBody reads the body of a response, or its beginning if it exceeds maxBufferedBody.
+// skipBody reads the body of a response to another request, and reports whether another response may follow.
+func skipBody(httpResp *http.Response) bool {
+	if httpResp.Close {
+		return false
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(httpResp.Body, maxBufferedBody+1))
+	return err == nil && n <= maxBufferedBody
+}
+
+// readBody reads the body of a response, or its beginning if it exceeds maxBufferedBody. It does not return a body of that
+// length unless the instance signed it as an answer: it may have no end.
 func (f *Forwarder) readBody(c *conn, r Request, httpResp *http.Response, id string) (Response, error) {
 	resp := Response{
 		Status: httpResp.StatusCode, Header: httpResp.Header, Length: httpResp.ContentLength,
@@ -253,6 +269,12 @@
 	}
 	resp.Body = body
 	if len(body) > maxBufferedBody {
+		switch {
+		case resp.NotRun:
+			return resp, nil
+		case !resp.Signed || resp.Status >= http.StatusInternalServerError:
+			return Response{}, errors.Newf("answer with status %d is longer than %d bytes", resp.Status, maxBufferedBody)
+		}
 		resp.BodyRest = httpResp.Body
 		return resp, nil
 	}
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -165,3 +166,67 @@
 	_, kept = f.Stats()
 	require.Zero(t, kept)
 }
+
+// endlessTimeout is far longer than it takes to give up on an endless response.
+const endlessTimeout = 30 * time.Second
+
+// TestEndlessResponsesAreBounded guards against an instance whose bytes without end fill the memory of a VM, or hold a
+// request until its time is up.
+func TestEndlessResponsesAreBounded(t *testing.T) {
+	const chunk = "8\r\nxxxxxxxx\r\n"
+	for name, b := range map[string]emulator.Behavior{
+		"no line":                     emulator.Endless("", "x"),
+		"status line":                 emulator.Endless("HTTP/1.1 200 ", "x"),
+		"header lines":                emulator.Endless("HTTP/1.1 200 OK\r\n", "X-Header: x\r\n"),
+		"header value":                emulator.Endless("HTTP/1.1 200 OK\r\nX-Header: ", "x"),
+		"interim responses":           emulator.Endless("", "HTTP/1.1 102 Processing\r\n\r\n"),
+		"body for another request":    emulator.Endless("HTTP/1.1 200 OK\r\nRequest-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n", chunk),
+		"body to the end for another": emulator.Endless("HTTP/1.1 200 OK\r\nRequest-Id: other\r\n\r\n", "x"),
+		"unsigned body":               emulator.Endless("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n\r\n", "x"),
+		"unsigned chunks":             emulator.Endless("HTTP/1.1 404 X\r\nTransfer-Encoding: chunked\r\n\r\n", chunk),
+		"error body":                  emulator.Endless("HTTP/1.1 500 X\r\nRequest-Id: %s\r\nServer-Signature: s\r\n\r\n", "x"),
+		"chunk extension":             emulator.Endless("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n8;", "x"),
+		"trailer":                     emulator.Endless("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-Trailer: x\r\n"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			i := newInstance(t, b)
+			ctx, cancel := context.WithTimeout(t.Context(), endlessTimeout)
+			defer cancel()
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			a, err := newForwarder().Send(ctx, i.Address(), request("1"), maxIdle)
+			runtime.ReadMemStats(&after)
+			if a.BodyRest != nil {
+				_ = a.BodyRest.Close()
+			}
+			require.Error(t, err)
+			require.NoError(t, ctx.Err())
+			require.False(t, errors.Is(err, forwarder.ErrNotSent), "the instance may have run the request")
+			require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(4<<20))
+		})
+	}
+}
+
+// TestRefusalWithEndlessBodyHasNotRun checks that an instance's word that it did not run a request counts without the
+// whole body, which is not returned.
+func TestRefusalWithEndlessBodyHasNotRun(t *testing.T) {
+	i := newInstance(t, emulator.Endless("HTTP/1.1 503 X\r\nNot-Executed: 1\r\n\r\n", "x"))
+	a, err := newForwarder().Send(t.Context(), i.Address(), request("1"), maxIdle)
+	require.NoError(t, err)
+	require.True(t, a.NotRun)
+	require.Nil(t, a.BodyRest)
+}
+
+// TestLongBodyIsPassedOnAsItComes checks that a signed response longer than the buffer is not held until its end.
+func TestLongBodyIsPassedOnAsItComes(t *testing.T) {
+	i := newInstance(t, emulator.Endless("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Signature: s\r\n\r\n", "x"))
+	a, err := newForwarder().Send(t.Context(), i.Address(), request("1"), maxIdle)
+	require.NoError(t, err)
+	require.NotNil(t, a.BodyRest)
+	n, err := io.CopyN(io.Discard, a.BodyRest, 1<<20)
+	require.NoError(t, err)
+	require.EqualValues(t, 1<<20, n)
+	require.NoError(t, a.BodyRest.Close())
+	_, err = io.Copy(io.Discard, a.BodyRest)
+	require.Error(t, err, "the end that the VM made is not the end of the body")
+}
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/netip"
 	"sync"
@@ -9,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/sys/unix"
 )
@@ -23,6 +25,7 @@
 type conn struct {
 	net.Conn
 	to       netip.AddrPort
+	in       *boundedReader
 	r        *bufio.Reader
 	requests int
 	reusable bool
@@ -31,6 +34,28 @@
 	idleSince time.Time
 }
 
+// boundedReader reads from a connection up to a limit.
+type boundedReader struct {
+	r    io.Reader
+	left int64
+}
+
+// errLimit is returned by a boundedReader beyond its limit.
+var errLimit = errors.New("the response head is too long")
+
+// limit sets how many more bytes may be read.
+func (r *boundedReader) limit(n int64) { r.left = n }
+
+// Read implements io.Reader.
+func (r *boundedReader) Read(p []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, errLimit
+	}
+	n, err := r.r.Read(p[:min(int64(len(p)), r.left)])
+	r.left -= int64(n)
+	return n, err
+}
+
 // pool keeps idle connections.
 type pool struct {
 	clock     clockwork.Clock
