Pass on responses longer than the buffer until the request's time is up

Callers got no whole response if it was longer than 256 KiB: the connection to them was closed after the beginning. Cause: the context of a request, which closes the connection to the instance, was canceled before the rest of the response was passed on. Nothing else bounded that time, so a caller that did not read could hold it. Change: the context lives until the response is written; it ends with the request's deadline. The rest of a response has the same deadline for writing.

--- a/internal/receiver/exchange.go
+++ b/internal/receiver/exchange.go
@@ -74,8 +74,9 @@
 	res, ok := x.prepare()
 	if ok {
 		ctx, cancel := context.WithDeadline(x.req.Context(), time.Now().Add(x.deadline.Sub(x.Clock.Now())))
+		// A response that is passed on as it comes ends with the context.
+		defer cancel()
 		res = x.run(ctx)
-		cancel()
 	}
 	x.finish(res)
 }
@@ -299,6 +300,10 @@
 	if resp.Length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(resp.Length, 10))
 	}
+	// A caller that does not read must not hold the response beyond its time. Writers without deadlines are those of tests.
+	rc := http.NewResponseController(x.w)
+	_ = rc.SetWriteDeadline(time.Now().Add(x.deadline.Sub(x.Clock.Now())))
+	defer func() { _ = rc.SetWriteDeadline(time.Time{}) }()
 	x.w.WriteHeader(res.status)
 	if _, err := io.Copy(x.w, io.MultiReader(bytes.NewReader(resp.Body), resp.BodyRest)); err != nil {
 		x.Logger.Info("response truncated", zap.String("id", x.id), logger.Err(err))
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -338,3 +339,31 @@
 	require.Equal(t, http.StatusOK, f.serve("/safe/", "secret").Code, "there is no other view")
 	require.Equal(t, 1, f.logs.FilterMessage("view of the instances is stale").Len())
 }
+
+// deadlineRecorder records the write deadlines that a handler sets.
+type deadlineRecorder struct {
+	*httptest.ResponseRecorder
+	deadlines []time.Time
+}
+
+func (r *deadlineRecorder) SetWriteDeadline(d time.Time) error {
+	r.deadlines = append(r.deadlines, d)
+	return nil
+}
+
+// TestCallerThatStopsReadingIsDropped guards against a response that is passed on as it comes and held, beyond the
+// request's time, by a caller that does not read.
+func TestCallerThatStopsReadingIsDropped(t *testing.T) {
+	f := newFixture()
+	f.respond = func(int) (forwarder.Response, error) {
+		r := okResponse()
+		r.BodyRest, r.Length = io.NopCloser(strings.NewReader("more")), -1
+		return r, nil
+	}
+	w := &deadlineRecorder{ResponseRecorder: httptest.NewRecorder()}
+	f.serveTo(w, "/safe/", "secret")
+	require.Equal(t, "okmore", w.Body.String())
+	require.Len(t, w.deadlines, 2)
+	require.WithinRange(t, w.deadlines[0], time.Now(), time.Now().Add(2*time.Second))
+	require.Zero(t, w.deadlines[1], "the connection may carry further requests")
+}
