Tell the usable instances in order

A VM could put an instance that had left back among those it picks from, until the next change. Cause: after a change, the list of usable instances was read and handed to the picker without a common lock. Reads of the registry, exchanges with several peers and 421 answers change it concurrently; a goroutine that was slow between the two steps put back an older list. Evidence: by reading; the test shows it each time. Not seen in play. Change: one notification runs at a time. Test: TestUsableInstancesAreToldInOrder fails on the code before, 5 of 5 runs.

--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -64,7 +64,10 @@
 	sequence      uint64
 	changed       chan struct{}
 	// viewed is closed when the view of the instances is confirmed again, or a read of the registry failed.
-	viewed            chan struct{}
+	viewed chan struct{}
+
+	// notifyMu is held while onInstancesChange runs.
+	notifyMu          sync.Mutex
 	onInstancesChange func()
 }
 
@@ -76,9 +79,17 @@
 	}
 }
 
-// OnInstancesChange sets a function that is called, without locks, after the usable instances changed.
+// OnInstancesChange sets a function that is called, one call at a time, after the usable instances changed.
 func (t *Tracker) OnInstancesChange(f func()) { t.onInstancesChange = f }
 
+// notifyInstancesChange calls the function that OnInstancesChange set. Calls do not overlap: an earlier one that is slow
+// would put back what it had read. t.mu must not be held.
+func (t *Tracker) notifyInstancesChange() {
+	t.notifyMu.Lock()
+	defer t.notifyMu.Unlock()
+	t.onInstancesChange()
+}
+
 func (t *Tracker) recordChange() uint64 {
 	t.sequence++
 	close(t.changed)
@@ -232,7 +243,7 @@
 	changed = t.expire() || changed
 	t.mu.Unlock()
 	if changed {
-		t.onInstancesChange()
+		t.notifyInstancesChange()
 	}
 }
 
@@ -425,7 +436,7 @@
 	changed := t.expire()
 	t.mu.Unlock()
 	if changed {
-		t.onInstancesChange()
+		t.notifyInstancesChange()
 	}
 }
 
@@ -442,7 +453,7 @@
 	}
 	t.mu.Unlock()
 	if changed {
-		t.onInstancesChange()
+		t.notifyInstancesChange()
 	}
 }
 
@@ -579,6 +590,6 @@
 	t.confirm(c.EntriesReadAt, c.End)
 	t.mu.Unlock()
 	if changed {
-		t.onInstancesChange()
+		t.notifyInstancesChange()
 	}
 }
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -3,6 +3,9 @@
 import (
 	"fmt"
 	"net/netip"
+	"runtime"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -378,3 +381,45 @@
 	require.True(t, <-done, "not readable")
 	require.True(t, tr.AwaitView(t.Context(), maxAge, timeout))
 }
+
+// TestUsableInstancesAreToldInOrder guards against a list of instances that a slow notification puts back although an
+// instance in it left meanwhile.
+func TestUsableInstancesAreToldInOrder(t *testing.T) {
+	tr, c := newTracker()
+	var told atomic.Int64
+	counted, leave := make(chan struct{}), make(chan struct{})
+	first := true
+	var mu sync.Mutex
+	tr.OnInstancesChange(func() {
+		n := usable(tr)
+		mu.Lock()
+		wait := first
+		first = false
+		mu.Unlock()
+		if wait {
+			close(counted)
+			<-leave
+		}
+		told.Store(int64(n))
+	})
+	var g sync.WaitGroup
+	g.Go(func() {
+		tr.ApplyRegistrations(c.Now(), []tracker.Entry{entry("i", 1, tracker.ConditionReady)}, true, 2)
+	})
+	<-counted
+	ended := make(chan struct{})
+	g.Go(func() {
+		tr.MergeInstances(peer, tracker.Changes{Entries: []tracker.Entry{gone("i", 2)}, End: 3})
+		close(ended)
+	})
+	for usable(tr) > 0 {
+		runtime.Gosched()
+	}
+	select {
+	case <-ended:
+	case <-time.After(50 * time.Millisecond):
+	}
+	close(leave)
+	g.Wait()
+	require.Zero(t, told.Load())
+}
