Let the soak end registrations, and check them after any disturbance

The soak told a request at a backend server that left only if the server had announced it, and only if no fault that suspends time bounds came after the announcement: neither kind of the incident could show. Change: every second server that leaves does not announce it, its registration ends.

--- a/cmd/soak/checker.go
+++ b/cmd/soak/checker.go
@@ -21,7 +21,7 @@
 	guaranteeSentOnly             guarantee = "only requests that a caller sent run"
 	guaranteeKeyWithdrawn         guarantee = "a withdrawn key is rejected within its time bound"
 	guaranteeRate                 guarantee = "no client account exceeds its rate"
-	guaranteeDrain                guarantee = "a draining backend server gets no new requests"
+	guaranteeDrain                guarantee = "a backend server that left gets no new requests"
 	guaranteeConfigurationApplied guarantee = "a configuration is in force within its time bound"
 	guaranteeConfigurationKept    guarantee = "a configuration never reverts within a process"
 	guaranteePlannedStop          guarantee = "a planned stop interrupts no request"
@@ -68,8 +68,8 @@
 	runTimes map[string][]time.Time
 	// withdrawnAt is when the last key of a client account was withdrawn.
 	withdrawnAt map[string]time.Time
-	// drainingSince is when a backend server announced draining.
-	drainingSince map[string]time.Time
+	// leavingSince is when a backend server announced draining, or its registration ended.
+	leavingSince map[string]time.Time
 	// lastDisturbance is the last time at which a fault that suspends time bounds was active.
 	lastDisturbance time.Time
 	// newestApplied is the newest configuration version that each process has been observed to apply.
@@ -81,7 +81,7 @@
 func newChecker(limits map[string]float64) *checker {
 	return &checker{
 		requests: map[string]*request{}, limits: limits, runTimes: map[string][]time.Time{},
-		withdrawnAt: map[string]time.Time{}, drainingSince: map[string]time.Time{}, newestApplied: map[string]int{}, violations: map[guarantee][]string{},
+		withdrawnAt: map[string]time.Time{}, leavingSince: map[string]time.Time{}, newestApplied: map[string]int{}, violations: map[guarantee][]string{},
 	}
 }
 
@@ -122,8 +122,8 @@
 	if w, ok := c.withdrawnAt[r.account]; ok && r.sentAt.Sub(w) > revocationBound {
 		c.addViolation(guaranteeKeyWithdrawn, "%s ran although it was sent %v after its key was withdrawn", id, r.sentAt.Sub(w))
 	}
-	if l, ok := c.drainingSince[server]; ok && at.Sub(l) > drainBound && at.Sub(c.lastDisturbance) > drainBound && l.After(c.lastDisturbance) {
-		c.addViolation(guaranteeDrain, "%s ran at %s, %v after the server had announced draining", id, server, at.Sub(l))
+	if l, ok := c.leavingSince[server]; ok && at.Sub(l) > drainBound && at.Sub(c.lastDisturbance) > settleTime {
+		c.addViolation(guaranteeDrain, "%s ran at %s, %v after the server had left", id, server, at.Sub(l))
 	}
 	if r.runs == 1 {
 		c.runTimes[r.account] = append(c.runTimes[r.account], at)
@@ -187,15 +187,16 @@
 	c.withdrawnAt[account] = at
 }
 
-// recordDraining records that a backend server announced draining, or with a zero time that it is ready again.
-func (c *checker) recordDraining(server string, at time.Time) {
+// recordLeaving records that a backend server announced draining or that its registration ended, or with a zero time that
+// it is ready again.
+func (c *checker) recordLeaving(server string, at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if at.IsZero() {
-		delete(c.drainingSince, server)
+		delete(c.leavingSince, server)
 		return
 	}
-	c.drainingSince[server] = at
+	c.leavingSince[server] = at
 }
 
 // recordDisturbance records that a fault that suspends time bounds is active.
--- a/cmd/soak/checker_test.go
+++ b/cmd/soak/checker_test.go
@@ -48,12 +48,21 @@
 		}},
 		{guaranteeRate, func(c *checker) { c.recordRuns("a", 87, start) }, func(c *checker) { c.recordRuns("a", 86, start) }},
 		{guaranteeDrain, func(c *checker) {
-			c.recordDraining("i", at(0))
+			c.recordLeaving("i", at(0))
 			c.recordRun("safe", "a", "", "i", at(drainBound+time.Millisecond))
 		}, func(c *checker) {
-			c.recordDraining("i", at(0))
+			c.recordLeaving("i", at(0))
 			c.recordRun("safe", "a", "", "i", at(drainBound))
 		}},
+		{guaranteeDrain, func(c *checker) {
+			c.recordLeaving("i", at(-time.Hour))
+			c.recordDisturbance(at(0))
+			c.recordRun("safe", "a", "", "i", at(settleTime+time.Millisecond))
+		}, func(c *checker) {
+			c.recordLeaving("i", at(-time.Hour))
+			c.recordDisturbance(at(0))
+			c.recordRun("safe", "a", "", "i", at(settleTime))
+		}},
 		{guaranteeConfigurationApplied, func(c *checker) { c.recordUse("p", 2, 404, applyBound+time.Millisecond, false) }, func(c *checker) {
 			c.recordUse("p", 2, 404, applyBound, false)
 			c.recordUse("p", 2, 404, time.Minute, true)
--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -130,12 +130,16 @@
 	}},
 	{"server leaves", false, func(f *fleet, r *rand.Rand) (func(), string) {
 		s := f.randomServer(r)
-		f.setState(s, "draining")
-		f.checker.recordDraining(s.ID, time.Now())
+		state := "draining"
+		if f.leaves.Add(1)%2 == 0 {
+			state = stateRemoved
+		}
+		f.setState(s, state)
+		f.checker.recordLeaving(s.ID, time.Now())
 		return func() {
-			f.checker.recordDraining(s.ID, time.Time{})
+			f.checker.recordLeaving(s.ID, time.Time{})
 			f.setState(s, "ready")
-		}, s.ID
+		}, s.ID + " " + state
 	}},
 	{"new configurations", false, func(f *fleet, r *rand.Rand) (func(), string) {
 		n := 1 + r.IntN(5)
--- a/cmd/soak/fleet.go
+++ b/cmd/soak/fleet.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -134,6 +135,8 @@
 	version int
 	// keys are the API keys of each client account.
 	keys map[string][]string
+	// leaves counts the servers that left; every second one does not announce it.
+	leaves atomic.Int64
 	// acceptedAt is when the newest configuration was accepted.
 	acceptedAt time.Time
 }
@@ -229,10 +232,17 @@
 	}
 }
 
-// heartbeat writes a heartbeat with the current state of a server to the registry.
+// stateRemoved is the state of a server whose registration ended although it never announced that it leaves.
+const stateRemoved = "removed"
+
+// heartbeat writes a heartbeat with the current state of a server to the registry, or ends its registration.
 func (f *fleet) heartbeat(s *server) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.state == stateRemoved {
+		f.store.Put("keyed.servers", s.ID, nil)
+		return
+	}
 	s.heartbeats++
 	f.store.Register(s.ID, emulator.Heartbeat{
 		Address: s.proxy.listener.Addr().String(), Service: "ledger", FailureDomain: s.domain, State: s.state, Slots: 8, SequenceNumber: s.heartbeats, StartedAtMs: s.startMs,
