Confirm a view only when its instances are in use

A request could be sent by the list of instances from before a view that counted as recent already. Cause: the age of a view was set before the picker got the list of usable instances, and a further view without changes set it while that was still under way. On a busy VM the time between may be long. Evidence: by reading. Change: the picker gets the list first. A view that is confirmed sees to it that all changes before it were handed over. Test: TestViewIsConfirmedAfterInstancesAreTold fails on the code before (age 0 at that time, 1 s expected).

--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -66,8 +66,12 @@
 	// viewed is closed when the view of the instances is confirmed again, or a read of the registry failed.
 	viewed chan struct{}
 
-	// notifyMu is held while onInstancesChange runs.
+	// usableChanges counts the changes of the usable instances.
+	usableChanges uint64
+
+	// notifyMu is held while onInstancesChange runs; notifiedChanges is usableChanges before its last run.
 	notifyMu          sync.Mutex
+	notifiedChanges   uint64
 	onInstancesChange func()
 }
 
@@ -82,12 +86,19 @@
 // OnInstancesChange sets a function that is called, one call at a time, after the usable instances changed.
 func (t *Tracker) OnInstancesChange(f func()) { t.onInstancesChange = f }
 
-// notifyInstancesChange calls the function that OnInstancesChange set. Calls do not overlap: an earlier one that is slow
-// would put back what it had read. t.mu must not be held.
+// notifyInstancesChange calls the function that OnInstancesChange set, unless the last call came after the last change.
+// Calls do not overlap: an earlier one that is slow would put back what it had read. t.mu must not be held.
 func (t *Tracker) notifyInstancesChange() {
 	t.notifyMu.Lock()
 	defer t.notifyMu.Unlock()
+	t.mu.Lock()
+	n := t.usableChanges
+	t.mu.Unlock()
+	if n == t.notifiedChanges {
+		return
+	}
 	t.onInstancesChange()
+	t.notifiedChanges = n
 }
 
 func (t *Tracker) recordChange() uint64 {
@@ -202,10 +213,20 @@
 	}
 }
 
-// confirm records that the records hold what the registry held up to an offset, by a read that began at the given time.
-// t.mu must be held.
-func (t *Tracker) confirm(readAt time.Time, end uint64) {
-	t.end = max(t.end, end)
+// countChange counts a change of the usable instances, if there was one. t.mu must be held.
+func (t *Tracker) countChange(changed bool) {
+	if changed {
+		t.usableChanges++
+	}
+}
+
+// confirm tells the usable instances if they changed, and then records that a read of the registry which began at the
+// given time confirmed the records: a request may take the view for recent only when its instances are in use. t.mu must
+// not be held.
+func (t *Tracker) confirm(readAt time.Time) {
+	t.notifyInstancesChange()
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	if !readAt.After(t.entriesReadAt) {
 		return
 	}
@@ -239,12 +260,10 @@
 	if latest {
 		t.replacedSequence = t.recordChange()
 	}
-	t.confirm(began, end)
-	changed = t.expire() || changed
+	t.end = max(t.end, end)
+	t.countChange(t.expire() || changed)
 	t.mu.Unlock()
-	if changed {
-		t.notifyInstancesChange()
-	}
+	t.confirm(began)
 }
 
 // applyAll applies entries and reports whether the usable instances changed. Unless latest is set, it leaves out
@@ -433,11 +452,9 @@
 // Expire takes the instances whose grace period is over out of use.
 func (t *Tracker) Expire() {
 	t.mu.Lock()
-	changed := t.expire()
+	t.countChange(t.expire())
 	t.mu.Unlock()
-	if changed {
-		t.notifyInstancesChange()
-	}
+	t.notifyInstancesChange()
 }
 
 // MarkMoved records that an instance is no longer at its address.
@@ -451,10 +468,9 @@
 		r.sequence = t.recordChange()
 		t.logger.Info("instance moved", zap.String("id", id))
 	}
+	t.countChange(changed)
 	t.mu.Unlock()
-	if changed {
-		t.notifyInstancesChange()
-	}
+	t.notifyInstancesChange()
 }
 
 // UsableInstances returns the instances that may get new requests.
@@ -587,9 +603,8 @@
 			t.replacedSequence = t.recordChange()
 		}
 	}
-	t.confirm(c.EntriesReadAt, c.End)
+	t.end = max(t.end, c.End)
+	t.countChange(changed)
 	t.mu.Unlock()
-	if changed {
-		t.notifyInstancesChange()
-	}
+	t.confirm(c.EntriesReadAt)
 }
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -423,3 +423,22 @@
 	g.Wait()
 	require.Zero(t, told.Load())
 }
+
+// TestViewIsConfirmedAfterInstancesAreTold guards against a request that takes a view for recent before the list of usable
+// instances, by which it is sent, follows.
+func TestViewIsConfirmedAfterInstancesAreTold(t *testing.T) {
+	tr, c := newTracker()
+	var ages []time.Duration
+	tr.OnInstancesChange(func() {
+		_, a := tr.Ages()
+		ages = append(ages, a)
+	})
+	tr.ApplyRegistrations(c.Now(), nil, true, 1)
+	c.Advance(time.Second)
+	tr.ApplyRegistrations(c.Now(), []tracker.Entry{entry("i", 1, tracker.ConditionReady)}, false, 2)
+	c.Advance(time.Second)
+	tr.MergeInstances(peer, tracker.Changes{Entries: []tracker.Entry{gone("i", 2)}, End: 3, EntriesReadAt: c.Now()})
+	require.Equal(t, []time.Duration{time.Second, time.Second}, ages)
+	_, a := tr.Ages()
+	require.Zero(t, a)
+}
