--- a/internal/dispatcher/backend.go
+++ b/internal/dispatcher/backend.go
@@ -47,9 +47,10 @@
 			}
 			return &meteredConn{Conn: c}, nil
 		},
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: maxIdlePerBackend,
-		IdleConnTimeout:     idleConnTimeout,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    maxIdlePerBackend,
+		IdleConnTimeout:        idleConnTimeout,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}}
 }
 
--- /dev/null
+++ b/internal/dispatcher/backend_test.go
@@ -0,0 +1,37 @@
+package dispatcher
+
+import (
+	"context"
+	"net/http"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jacinthproxy/jacinthproxy/cmd/standin/emulator"
+)
+
+// TestEndlessHeadIsBounded guards against a backend server whose bytes without end fill the memory of a VM.
+func TestEndlessHeadIsBounded(t *testing.T) {
+	for name, b := range map[string]emulator.Behavior{
+		"no line":      emulator.Endless("", "x"),
+		"header lines": emulator.Endless("HTTP/1.1 200 OK\r\n", "X-Header: x\r\n"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			i, err := emulator.NewInstance("i-1")
+			require.NoError(t, err)
+			t.Cleanup(i.Close)
+			i.SetBehavior(b)
+			ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+			defer cancel()
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			_, err = newBackend(i.Address()).send(ctx, Request{ID: "1", Method: http.MethodGet, Target: "/"})
+			runtime.ReadMemStats(&after)
+			require.Error(t, err)
+			require.NoError(t, ctx.Err())
+			require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(4<<20))
+		})
+	}
+}
--- a/internal/dispatcher/constants.go
+++ b/internal/dispatcher/constants.go
@@ -8,6 +8,8 @@
 	// MaxBufferedBody is how much of a response body is read before any of it is forwarded, in bytes. A longer body is
 	// streamed.
 	MaxBufferedBody = 1 << 20
+	// maxHeadBytes bounds the head of a response, in bytes.
+	maxHeadBytes = 64 << 10
 	// maxQueuedPerAccount bounds the queued requests of one client account in a group.
 	maxQueuedPerAccount = 1024
 	// maxTotalBodyBytes bounds the total size of the bodies of all requests at a dispatcher, in bytes.
