--- a/internal/relayer/loops.go
+++ b/internal/relayer/loops.go
@@ -205,7 +205,7 @@
 
 // poll reads while this VM reads for others, and when its data is stale.
 func (r *Relayer) poll(ctx context.Context, p poller) {
-	jitter := rand.N(p.stale.jitter)
+	jitter := rand.N(p.stale.jitter + 1)
 	failingSince := time.Time{}
 	var backoff time.Duration
 	for ctx.Err() == nil {
