Shorten the comments of the new tests to a line each

Three tests are renamed after what they guard against: TestSlowNotificationDoesNotRestoreInstance, TestViewIsConfirmedAfterNotification and TestPeersLearnOfDroppedRecords, before TestUsableInstancesAreToldInOrder, TestViewIsConfirmedAfterInstancesAreTold and TestDroppedRecordsAreTold.

--- a/internal/dispatcher/backend_test.go
+++ b/internal/dispatcher/backend_test.go
@@ -12,7 +12,7 @@
 	"github.com/jacinthproxy/jacinthproxy/cmd/standin/emulator"
 )
 
-// TestEndlessHeadIsBounded guards against a backend server whose bytes without end fill the memory of a VM.
+// An endless head must not fill memory.
 func TestEndlessHeadIsBounded(t *testing.T) {
 	for name, b := range map[string]emulator.Behavior{
 		"no line":      emulator.Endless("", "x"),
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -170,8 +170,7 @@
 // endlessTimeout is far longer than it takes to give up on an endless response.
 const endlessTimeout = 30 * time.Second
 
-// TestEndlessResponsesAreBounded guards against an instance whose bytes without end fill the memory of a VM, or hold a
-// request until its time is up.
+// An endless response must not fill memory, nor hold the request until its deadline.
 func TestEndlessResponsesAreBounded(t *testing.T) {
 	const chunk = "8\r\nxxxxxxxx\r\n"
 	for name, b := range map[string]emulator.Behavior{
@@ -207,8 +206,7 @@
 	}
 }
 
-// TestRefusalWithEndlessBodyHasNotRun checks that an instance's word that it did not run a request counts without the
-// whole body, which is not returned.
+// A refusal counts without its whole body.
 func TestRefusalWithEndlessBodyHasNotRun(t *testing.T) {
 	i := newInstance(t, emulator.Endless("HTTP/1.1 503 X\r\nNot-Executed: 1\r\n\r\n", "x"))
 	a, err := newForwarder().Send(t.Context(), i.Address(), request("1"), maxIdle)
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -326,8 +326,7 @@
 	require.Equal(t, 40*time.Millisecond, lines[0].ContextMap()["viewAge"])
 }
 
-// TestRequestsWaitForRecentView guards against a request that a busy VM sends by a view which is older than an instance
-// that left may still get requests.
+// A busy VM must not send by a view older than the drain timeout.
 func TestRequestsWaitForRecentView(t *testing.T) {
 	f := newFixture()
 	require.Equal(t, http.StatusOK, f.serve("/safe/", "secret").Code)
@@ -351,8 +350,7 @@
 	return nil
 }
 
-// TestCallerThatStopsReadingIsDropped guards against a response that is passed on as it comes and held, beyond the
-// request's time, by a caller that does not read.
+// A caller that does not read must not hold a streamed response beyond the request's time.
 func TestCallerThatStopsReadingIsDropped(t *testing.T) {
 	f := newFixture()
 	f.respond = func(int) (forwarder.Response, error) {
--- a/internal/relayer/reader_test.go
+++ b/internal/relayer/reader_test.go
@@ -181,8 +181,7 @@
 	require.Less(t, 2*configurationPollWait+exchangeWait, configurationStaleness.follower)
 }
 
-// TestRequestsReachNoInstanceAfterTheDrainTimeout guards against a request that is sent by the oldest view which a VM in
-// touch with the store can have, and reaches an instance later than it may.
+// Adds up the oldest view of a VM in touch with the store and the time to reach the instance.
 func TestRequestsReachNoInstanceAfterTheDrainTimeout(t *testing.T) {
 	const read = 100 * time.Millisecond
 	for _, d := range drainTimeouts {
@@ -195,8 +194,7 @@
 	}
 }
 
-// TestViewsRecoverBeforeChangesBind guards against a VM that, after it or the store was away, does not know the changes
-// since when it must use them, 3 s later. The last read that fails may begin right before the end.
+// Adds up the last failed call, the delay and the read: changes must be known 3 s after an outage.
 func TestViewsRecoverBeforeChangesBind(t *testing.T) {
 	const bound, read = 3 * time.Second, 100 * time.Millisecond
 	for range 1000 {
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -230,8 +230,7 @@
 	return nil
 }
 
-// TestAgeCountsTimeToCompleteAReply guards against a view that looks younger than it is because the peer was slow to
-// complete its reply.
+// A view must not look younger because the peer was slow to complete its reply.
 func TestAgeCountsTimeToCompleteAReply(t *testing.T) {
 	f := newFleet(2, 1)
 	follower, leader := 0, 1
--- a/internal/tracker/exchange_test.go
+++ b/internal/tracker/exchange_test.go
@@ -72,8 +72,7 @@
 	return ids
 }
 
-// TestViewsEqualTheRegistry lets VMs read the registry, exchange and restart in any order: the instances that a VM uses
-// are always those of the registry at the offset that the VM's view covers.
+// VMs read, exchange and restart in any order; each uses what the registry has at its view's end.
 func TestViewsEqualTheRegistry(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		c := clockwork.NewFakeClock()
--- a/internal/tracker/instances.go
+++ b/internal/tracker/instances.go
@@ -339,9 +339,8 @@
 	}
 }
 
-// confirm tells the usable instances if they changed, and then records that a read of the registry which began at the
-// given time confirmed the records: a request may take the view for recent only when its instances are in use. t.mu must
-// not be held.
+// confirm records that a read of the registry which began at the given time confirmed the records. It sends pending
+// notifications first: a request may take the view for recent only when its instances are in use. t.mu must not be held.
 func (t *Tracker) confirm(readAt time.Time) {
 	t.notifyInstancesChange()
 	t.mu.Lock()
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -86,8 +86,7 @@
 	require.Equal(t, 1, usable(tr))
 }
 
-// TestRegistrationsOutliveOutage checks that instances whose registration lapsed during an outage of the store remain
-// usable for about two seconds after it, and no longer, also where the end of the registration is relayed.
+// Instances whose registration lapsed in an outage stay usable for about two seconds, and no longer.
 func TestRegistrationsOutliveOutage(t *testing.T) {
 	for _, relayed := range []bool{false, true} {
 		tr, c := newTracker()
@@ -115,8 +114,7 @@
 	}
 }
 
-// TestGapBetweenReadsIsNoOutage guards against a VM that goes on using removed instances because the VM that read for it
-// was lost.
+// A VM that lost the VM which read for it must not go on using removed instances.
 func TestGapBetweenReadsIsNoOutage(t *testing.T) {
 	for _, relayed := range []bool{false, true} {
 		tr, c := newTracker()
@@ -131,8 +129,7 @@
 	}
 }
 
-// TestLapsedInstancesAreNotRelayed guards against a VM that was cut off from the store, and whose grace period its peers
-// take over.
+// Peers must not take over the grace period of a VM that was cut off from the store.
 func TestLapsedInstancesAreNotRelayed(t *testing.T) {
 	cutOff, c := newTracker()
 	cutOff.ApplyRegistrations(c.Now(), []tracker.Entry{entry("i", 5, tracker.ConditionReady)}, true, 6)
@@ -149,8 +146,7 @@
 	require.Zero(t, usable(other))
 }
 
-// TestGracePeriodEndsBeforeRemovalsBind guards against removed instances that are still used 3 s after the earliest time
-// at which the store may have been back, or 2 s after the removal became known.
+// A removed instance is used neither 3 s after the earliest end of the outage nor 2 s after its removal is known.
 func TestGracePeriodEndsBeforeRemovalsBind(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		tr, c := newTracker()
@@ -257,8 +253,7 @@
 	tr.WaitUntilKnown(t.Context(), time.Second)
 }
 
-// TestRelayedRemovalOutranksKnownSequenceNumber guards against a removed instance that stays usable at a VM which knows
-// a later sequence number of it than the peer that relays the removal.
+// The peer that relays a removal may know the instance by a lower sequence number.
 func TestRelayedRemovalOutranksKnownSequenceNumber(t *testing.T) {
 	reader, c := newTracker()
 	reader.ApplyRegistrations(c.Now(), []tracker.Entry{entry("i", 1, tracker.ConditionReady)}, true, 2)
@@ -270,8 +265,7 @@
 	require.Zero(t, usable(restarted))
 }
 
-// TestRelayedReportFromBeforeRemovalDoesNotRevive guards against a removed instance that a report from before its
-// removal, relayed late, makes usable again.
+// A report from before a removal may be relayed after it.
 func TestRelayedReportFromBeforeRemovalDoesNotRevive(t *testing.T) {
 	tr, c := newTracker()
 	tr.ApplyRegistrations(c.Now(), []tracker.Entry{entry("i", 4, tracker.ConditionReady)}, true, 5)
@@ -282,8 +276,7 @@
 	require.Equal(t, 1, usable(tr), "it registered again")
 }
 
-// TestOldHistoryDoesNotEndLaterRegistration guards against an instance that registered again and that a read of the
-// history from before takes out of use.
+// A read of old history must not end a registration that a peer relayed since.
 func TestOldHistoryDoesNotEndLaterRegistration(t *testing.T) {
 	tr, c := newTracker()
 	tr.MergeInstances(peer, tracker.Changes{Entries: []tracker.Entry{at(entry("i", 9, tracker.ConditionReady), 40)}})
@@ -292,8 +285,7 @@
 	require.Equal(t, 1, usable(tr))
 }
 
-// TestLateReportOfLeavingInstanceDoesNotRevive guards against an instance that said that it leaves, and that a VM which
-// did not know of it takes for usable because of a report written late, after the end of the registration.
+// A report may be written late, after the end of the registration.
 func TestLateReportOfLeavingInstanceDoesNotRevive(t *testing.T) {
 	reader, c := newTracker()
 	reader.ApplyRegistrations(c.Now(), []tracker.Entry{entry("i", 7, tracker.ConditionReady)}, true, 8)
@@ -305,8 +297,7 @@
 	require.Zero(t, usable(other))
 }
 
-// TestSnapshotOfNewReaderEndsInstancesUnknownToIt guards against an instance that left before a new VM first read the
-// registry, and that its peers go on using once that VM reads for them.
+// Peers must learn of instances that left before the VM that reads for them started.
 func TestSnapshotOfNewReaderEndsInstancesUnknownToIt(t *testing.T) {
 	follower, c := newTracker()
 	follower.ApplyRegistrations(c.Now(), []tracker.Entry{entry("i", 1, tracker.ConditionReady), entry("j", 2, tracker.ConditionReady)}, true, 3)
@@ -322,8 +313,7 @@
 	require.Equal(t, 1, usable(third), "relayed once more")
 }
 
-// TestRelayedEntryThatSnapshotLacksIsNotUsed guards against an instance that left, and that a VM which never knew it
-// learns from a peer with an older view.
+// A peer with an older view may know an instance that left before this VM started.
 func TestRelayedEntryThatSnapshotLacksIsNotUsed(t *testing.T) {
 	reader, c := newTracker()
 	reader.ApplyRegistrations(c.Now(), []tracker.Entry{entry("j", 2, tracker.ConditionReady)}, true, 9)
@@ -333,9 +323,8 @@
 	require.Equal(t, 2, usable(reader), "a later registration")
 }
 
-// TestDroppedRecordsAreTold guards against an instance whose end was forgotten before a peer, cut off for long, learned
-// of it.
-func TestDroppedRecordsAreTold(t *testing.T) {
+// A peer that was cut off for long must learn of ends whose records were dropped.
+func TestPeersLearnOfDroppedRecords(t *testing.T) {
 	reader, c := newTracker()
 	peerOf := tracker.New(c, zap.NewNop())
 	reader.ApplyRegistrations(c.Now(), []tracker.Entry{entry("i", 1, tracker.ConditionReady)}, true, 2)
@@ -382,11 +371,10 @@
 	require.True(t, tr.AwaitView(t.Context(), maxAge, timeout))
 }
 
-// TestUsableInstancesAreToldInOrder guards against a list of instances that a slow notification puts back although an
-// instance in it left meanwhile.
-func TestUsableInstancesAreToldInOrder(t *testing.T) {
+// A slow notification must not put back an instance that left meanwhile.
+func TestSlowNotificationDoesNotRestoreInstance(t *testing.T) {
 	tr, c := newTracker()
-	var told atomic.Int64
+	var notified atomic.Int64
 	counted, leave := make(chan struct{}), make(chan struct{})
 	first := true
 	var mu sync.Mutex
@@ -400,7 +388,7 @@
 			close(counted)
 			<-leave
 		}
-		told.Store(int64(n))
+		notified.Store(int64(n))
 	})
 	var g sync.WaitGroup
 	g.Go(func() {
@@ -421,12 +409,11 @@
 	}
 	close(leave)
 	g.Wait()
-	require.Zero(t, told.Load())
+	require.Zero(t, notified.Load())
 }
 
-// TestViewIsConfirmedAfterInstancesAreTold guards against a request that takes a view for recent before the list of usable
-// instances, by which it is sent, follows.
-func TestViewIsConfirmedAfterInstancesAreTold(t *testing.T) {
+// A view must not count as recent before its instances are in use.
+func TestViewIsConfirmedAfterNotification(t *testing.T) {
 	tr, c := newTracker()
 	var ages []time.Duration
 	tr.OnInstancesChange(func() {
