Let no VM own a rate before it knows its peers

Cause: a VM was ready as soon as it knew the configuration and an instance. The list of VMs came from a third read. Until then a VM knew only itself, so it owned the rate of every account that was asked for, and began each with a second of the rate.

Now a VM serves nobody and owns no rate before it has read the list of VMs. If that list does not show that the fleet existed before, the VM reads it again 0.6 s after its start, since all VMs start within 0.3 s.

--- a/internal/receiver/exchange.go
+++ b/internal/receiver/exchange.go
@@ -91,6 +91,9 @@
 	if table == nil {
 		return unavailable(ReasonNoConfiguration, "this daemon knows no configuration yet"), false
 	}
+	if !x.Tracker.MembersKnown() {
+		return unavailable(ReasonNoConfiguration, "this daemon does not know its peers yet"), false
+	}
 	x.configurationVersion, x.configurationAge = table.Version, x.arrivedAt.Sub(confirmedAt)
 	x.target = requestTarget(x.req)
 	path, _, _ := strings.Cut(x.target, "?")
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -68,9 +68,11 @@
 type Tracker interface {
 	// Table returns the current configuration, nil if there is none yet, and when the read that confirmed it began.
 	Table() (*router.Table, time.Time)
-	// WaitUntilKnown waits until the configuration and the instances are known, at most for the given time or until the
-	// context ends.
+	// WaitUntilKnown waits until the configuration, the instances and the VMs are known, at most for the given time or
+	// until the context ends.
 	WaitUntilKnown(ctx context.Context, timeout time.Duration)
+	// MembersKnown reports whether the VMs of the fleet are known, without which no rate can be enforced.
+	MembersKnown() bool
 	// AwaitView waits while the view of the instances is older than maxAge, for up to timeout, and reports whether it is
 	// not. A view is good whatever its age if the registry cannot be read.
 	AwaitView(ctx context.Context, maxAge, timeout time.Duration) bool
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -37,6 +37,8 @@
 	moved       []string
 	outcomes    []balancer.Outcome
 	leaving     bool
+	// alone is set while the VM does not know its peers.
+	alone bool
 	// left is set if the instances left while requests were in flight there.
 	left bool
 	// stale is set if the view of the instances is too old; viewWaits are the times that requests would wait for another.
@@ -88,6 +90,7 @@
 		f.table = f.tableAfterWait
 	}
 }
+func (f *fixture) MembersKnown() bool { return !f.alone }
 func (f *fixture) AwaitView(_ context.Context, maxAge, timeout time.Duration) bool {
 	f.viewWaits = append(f.viewWaits, timeout)
 	f.maxViewAge = maxAge
--- a/internal/relayer/constants.go
+++ b/internal/relayer/constants.go
@@ -60,6 +60,9 @@
 	// for about 1.5 s after the configuration became stale, which leaves time for two attempts.
 	followerInitialBackoff = 500 * time.Millisecond
 	followerMaxBackoff     = 1800 * time.Millisecond
+	// formationTime is how long after its start a VM of a new fleet reads the list of VMs again: all VMs start within
+	// 0.3 s and then announce themselves.
+	formationTime = 600 * time.Millisecond
 	// tickInterval is how often a VM checks which roles it has.
 	tickInterval = 100 * time.Millisecond
 	// takeTimeout bounds a call to an account's owner. Two crossings of failure domains take 4 ms, but an owner that
--- a/internal/relayer/loops.go
+++ b/internal/relayer/loops.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -10,6 +11,7 @@
 
 	"github.com/jacinthproxy/jacinthproxy/internal/logger"
 	"github.com/jacinthproxy/jacinthproxy/internal/tracker"
+	"github.com/jacinthproxy/jacinthproxy/pkg/placer"
 )
 
 // announce publishes this VM in the store, once.
@@ -302,17 +304,43 @@
 		name: "peers", interval: peerPollInterval, stale: configurationStaleness, responsible: func() bool { return readAt.IsZero() || r.readsForFleet() },
 		age: func() (time.Duration, bool) { return 0, !readAt.IsZero() },
 		read: func(ctx context.Context, _ time.Duration) error {
-			got, err := r.Source.Peers(ctx, after)
+			got, err := r.readMembers(ctx, after)
 			if err != nil {
 				return err
 			}
-			for _, m := range got.Items {
-				if m.Address != r.Self.Address {
-					r.Tracker.UpdateMember(m)
+			if readAt.IsZero() && !r.formed(got) {
+				r.sleep(ctx, formationTime-r.Clock.Since(r.startedAt))
+				if got, err = r.readMembers(ctx, got.Next); err != nil {
+					return err
 				}
 			}
 			after, readAt = got.Next, r.Clock.Now()
+			r.Tracker.MarkMembersKnown()
 			return nil
 		},
 	})
 }
+
+// readMembers reads the VMs that were announced in the store after a position.
+func (r *Relayer) readMembers(ctx context.Context, after Position) (Read[tracker.Member], error) {
+	got, err := r.Source.Peers(ctx, after)
+	if err != nil {
+		return got, err
+	}
+	for _, m := range got.Items {
+		if m.Address != r.Self.Address {
+			r.Tracker.UpdateMember(m)
+		}
+	}
+	return got, nil
+}
+
+// formed reports whether the first list of VMs shows that the fleet existed before this VM started. If not, all VMs may
+// be starting, and the list has only those that were announced first.
+func (r *Relayer) formed(list Read[tracker.Member]) bool {
+	if list.Next.Offset > uint64(len(list.Items)) {
+		return true // A VM was announced more than once.
+	}
+	before := placer.NewIncarnation(r.startedAt.Add(-coldStartAge))
+	return slices.ContainsFunc(list.Items, func(m tracker.Member) bool { return m.Incarnation < before })
+}
--- a/internal/relayer/rates.go
+++ b/internal/relayer/rates.go
@@ -107,6 +107,9 @@
 	if r.Role() == tracker.RoleLeaving {
 		return nil, errors.New("this daemon is leaving")
 	}
+	if !r.Tracker.MembersKnown() {
+		return nil, errors.New("this daemon does not know its peers yet")
+	}
 	t, _ := r.Tracker.Table()
 	if t == nil {
 		return nil, errors.New("this daemon knows no configuration")
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -46,7 +46,8 @@
 // Relayer exchanges state with peers. It is safe for concurrent use.
 type Relayer struct {
 	Options
-	rates *rates
+	rates     *rates
+	startedAt time.Time
 
 	mu   sync.Mutex
 	role tracker.Role
@@ -109,7 +110,7 @@
 // New returns a relayer; Run starts it.
 func New(o Options) *Relayer {
 	r := &Relayer{
-		Options: o, suspects: map[netip.AddrPort]time.Time{}, staleLeaders: map[netip.AddrPort]time.Time{}, lastExchange: map[netip.AddrPort]time.Time{}, outgoing: outbox{},
+		Options: o, startedAt: o.Clock.Now(), suspects: map[netip.AddrPort]time.Time{}, staleLeaders: map[netip.AddrPort]time.Time{}, lastExchange: map[netip.AddrPort]time.Time{}, outgoing: outbox{},
 		outboxes: map[netip.AddrPort]*peerOutbox{}, peerLoads: map[netip.AddrPort]loadReport{}, reportCh: make(chan struct{}, 1),
 		cursors: map[netip.AddrPort]cursor{}, domainsLive: map[string]liveCount{},
 		reads: map[string]float64{}, decisions: map[string]float64{},
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -85,6 +85,7 @@
 		for _, o := range f.members {
 			t.UpdateMember(o)
 		}
+		t.MarkMembersKnown()
 		f.network.relayers[m.Address] = r
 		f.relayers, f.trackers = append(f.relayers, r), append(f.trackers, t)
 	}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -246,13 +246,13 @@
 	peerIdleTimeout = 5 * time.Second
 )
 
-// updateReadiness marks a starting daemon as ready once it has a configuration and a usable instance.
+// updateReadiness marks a starting daemon as ready once it has a configuration and a usable instance, and knows its peers.
 func (r *Runner) updateReadiness() {
 	if r.relayer.Role() != tracker.RoleStarting {
 		return
 	}
 	t, _ := r.tracker.Table()
-	if t != nil && len(r.tracker.UsableInstances()) > 0 {
+	if t != nil && r.tracker.MembersKnown() && len(r.tracker.UsableInstances()) > 0 {
 		r.Logger.Info("ready", zap.Int64("version", t.Version), zap.Int("instances", len(r.tracker.UsableInstances())))
 		r.relayer.SetRole(tracker.RoleReady)
 	}
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -42,6 +42,8 @@
 	graceUntil time.Time
 	records    map[string]*record
 	members    map[netip.AddrPort]*member
+	// membersKnown is set once the store's list of VMs was read.
+	membersKnown bool
 	// sortedMembers are the members in order of address; nil after a change. The slice is never modified once it is
 	// set.
 	sortedMembers []Member
@@ -99,13 +101,13 @@
 	return t.table, t.tableReadAt
 }
 
-// WaitUntilKnown waits until the configuration and the instances are known, or the timeout or the context ends.
+// WaitUntilKnown waits until the configuration, the instances and the VMs are known, or the timeout or the context ends.
 func (t *Tracker) WaitUntilKnown(ctx context.Context, timeout time.Duration) {
 	timer := t.clock.NewTimer(timeout)
 	defer timer.Stop()
 	for {
 		t.mu.Lock()
-		known, changed := t.table != nil && !t.entriesReadAt.IsZero(), t.changed
+		known, changed := t.table != nil && !t.entriesReadAt.IsZero() && t.membersKnown, t.changed
 		t.mu.Unlock()
 		if known {
 			return
@@ -182,6 +184,23 @@
 	return changed
 }
 
+// MarkMembersKnown records that the store's list of VMs was read.
+func (t *Tracker) MarkMembersKnown() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.membersKnown {
+		t.membersKnown = true
+		t.recordChange()
+	}
+}
+
+// MembersKnown reports whether the store's list of VMs was read. Before, this VM may know only a part of the fleet.
+func (t *Tracker) MembersKnown() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.membersKnown
+}
+
 // Members returns the known VMs in order of address; callers must not change the slice.
 func (t *Tracker) Members() []Member {
 	t.mu.Lock()
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -229,8 +229,8 @@
 	require.True(t, tr.UpdateMember(m))
 }
 
-// TestWaitUntilKnown checks that WaitUntilKnown returns when the configuration and the instances are known, or at its
-// timeout.
+// TestWaitUntilKnown checks that WaitUntilKnown returns when the configuration, the instances and the VMs are known, or at
+// its timeout.
 func TestWaitUntilKnown(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	tr := tracker.New(clock, zap.NewNop())
@@ -249,6 +249,7 @@
 	tr.ApplyConfiguration(router.Configuration{Version: 1})
 	tr.MarkTableFresh(clock.Now())
 	tr.ApplyRegistrations(clock.Now(), nil, false, 1)
+	tr.MarkMembersKnown()
 	<-done
 	tr.WaitUntilKnown(t.Context(), time.Second)
 }
