Log the limits that instances state

The logs showed neither that an instance stated a limit nor which VM heard of it. The header of each response is read now, those of errors and refusals too, and event="instance limit" names the instance, the rate and the one before. A response without the header ends a limit only if the instance signed it and its request was sent after the last response with a limit had come. Nothing acts on it yet.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -44,6 +44,8 @@
 	Signature string
 	// NotRun is present in a response if the instance did not run the request.
 	NotRun string
+	// Limit carries the requests per second that the instance accepts from all VMs together.
+	Limit string
 }
 
 // Request is a request for a backend server.
@@ -76,6 +78,8 @@
 	NotRun bool
 	// Signed is set if the response has the instance's signature header; the signature is not verified.
 	Signed bool
+	// Limit is what the response says about the instance's limit.
+	Limit Limit
 	// Reused is set if the connection had carried other requests before.
 	Reused bool
 }
@@ -262,6 +266,7 @@
 		Status: httpResp.StatusCode, Header: httpResp.Header, Length: httpResp.ContentLength,
 		NotRun: httpResp.Header.Get(f.headers.NotRun) != "" || httpResp.StatusCode == http.StatusMisdirectedRequest,
 		Signed: httpResp.Header.Get(f.headers.Signature) != "",
+		Limit:  parseLimit(httpResp.Header.Get(f.headers.Limit)),
 	}
 	body, err := io.ReadAll(io.LimitReader(httpResp.Body, maxBufferedBody+1))
 	if err != nil {
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -127,6 +127,7 @@
 func (r *retrier) handleFinished(ctx context.Context, a *attempt) (res result, done bool) {
 	took := r.Clock.Since(a.startedAt)
 	o := r.classify(ctx, a)
+	r.observeLimit(a)
 	r.Picker.Done(r.route, a.choice, o, took)
 	if usable, _ := r.Tracker.Usable(a.choice.ID); !usable {
 		r.Logger.Info("instance left during request", zap.String("id", r.id), zap.String("instance", a.choice.ID),
@@ -198,6 +199,16 @@
 	return balancer.OutcomeAnswered
 }
 
+// observeLimit records what the response of a finished attempt says about the instance's limit. Only an instance that
+// signed its response stated that it has none.
+func (r *retrier) observeLimit(a *attempt) {
+	resp := a.response
+	if a.err != nil || resp.Status == http.StatusMisdirectedRequest || resp.Limit.Invalid || resp.Limit.Rate == 0 && !resp.Signed {
+		return
+	}
+	r.Tracker.ObserveLimit(a.choice.ID, resp.Limit.Rate, a.startedAt)
+}
+
 // impliesNotRun reports whether callers conclude from a status that the request has not run.
 func impliesNotRun(status int) bool {
 	switch status {
@@ -253,6 +264,7 @@
 			if a.err == nil {
 				o = r.classify(context.Background(), a)
 			}
+			r.observeLimit(a)
 			if a.response.BodyRest != nil {
 				_ = a.response.BodyRest.Close()
 			}
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -78,6 +78,9 @@
 	AwaitView(ctx context.Context, maxAge, timeout time.Duration) bool
 	// Usable reports whether an instance may get new requests, and the age of the view that says so.
 	Usable(instance string) (usable bool, viewAge time.Duration)
+	// ObserveLimit records what the response to a request that was sent at the given time stated about an instance's
+	// limit, in requests per second; zero if there is none.
+	ObserveLimit(instance string, rate float64, sentAt time.Time)
 	// MarkMoved marks an instance as no longer present at its address.
 	MarkMoved(id string)
 }
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -36,7 +37,9 @@
 	respond     func(n int) (forwarder.Response, error)
 	moved       []string
 	outcomes    []balancer.Outcome
-	leaving     bool
+	// limits are the limits that were observed, by instance.
+	limits  []string
+	leaving bool
 	// alone is set while the VM does not know its peers.
 	alone bool
 	// left is set if the instances left while requests were in flight there.
@@ -97,7 +100,10 @@
 	return !f.stale
 }
 func (f *fixture) Usable(string) (bool, time.Duration) { return !f.left, 40 * time.Millisecond }
-func (f *fixture) MarkMoved(id string)                 { f.moved = append(f.moved, id) }
+func (f *fixture) ObserveLimit(id string, rate float64, _ time.Time) {
+	f.limits = append(f.limits, fmt.Sprint(id, " ", rate))
+}
+func (f *fixture) MarkMoved(id string) { f.moved = append(f.moved, id) }
 func (f *fixture) Admit(context.Context, *router.Account) relayer.Admission {
 	return f.admitted
 }
@@ -368,3 +374,27 @@
 	require.WithinRange(t, w.deadlines[0], time.Now(), time.Now().Add(2*time.Second))
 	require.Zero(t, w.deadlines[1], "the connection may carry further requests")
 }
+
+func TestLimitsAreReadFromAllResponses(t *testing.T) {
+	for name, c := range map[string]struct {
+		response forwarder.Response
+		want     []string
+	}{
+		"answer":              {forwarder.Response{Status: 200, Signed: true, Limit: forwarder.Limit{Rate: 2.5}}, []string{"i-1 2.5"}},
+		"answer without":      {forwarder.Response{Status: 200, Signed: true}, []string{"i-1 0"}},
+		"error":               {forwarder.Response{Status: 500, Signed: true, Limit: forwarder.Limit{Rate: 2.5}}, []string{"i-1 2.5"}},
+		"shed":                {forwarder.Response{Status: 503, NotRun: true, Limit: forwarder.Limit{Rate: 2.5}}, []string{"i-1 2.5", "i-2 2.5"}},
+		"shed without":        {forwarder.Response{Status: 503, NotRun: true}, nil},
+		"unsigned without":    {forwarder.Response{Status: 404}, nil},
+		"invalid":             {forwarder.Response{Status: 200, Signed: true, Limit: forwarder.Limit{Invalid: true}}, nil},
+		"of another instance": {forwarder.Response{Status: 421, NotRun: true, Limit: forwarder.Limit{Rate: 2.5}}, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture()
+			c.response.Header = http.Header{}
+			f.respond = func(int) (forwarder.Response, error) { return c.response, nil }
+			f.serve("/once/x", "secret")
+			require.Equal(t, c.want, f.limits)
+		})
+	}
+}
--- a/internal/tracker/change.go
+++ b/internal/tracker/change.go
@@ -12,6 +12,8 @@
 	sourceStore = "store"
 	// sourceGracePeriod is the source of removals that were put off until the end of the grace period.
 	sourceGracePeriod = "gracePeriod"
+	// sourceResponse is the source of what an instance stated in a response to this VM.
+	sourceResponse = "response"
 )
 
 // change says where a change of the instances comes from, and the age of the view that it replaces.
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -41,6 +41,7 @@
 	// graceUntil is the end of the grace period after the last outage.
 	graceUntil time.Time
 	records    map[string]*record
+	limits     map[string]*limitRecord
 	members    map[netip.AddrPort]*member
 	// membersKnown is set once the store's list of VMs was read.
 	membersKnown bool
@@ -64,7 +65,7 @@
 // New returns a tracker that knows nothing.
 func New(clock clockwork.Clock, logger *zap.Logger) *Tracker {
 	return &Tracker{
-		clock: clock, logger: logger, records: map[string]*record{}, members: map[netip.AddrPort]*member{},
+		clock: clock, logger: logger, records: map[string]*record{}, limits: map[string]*limitRecord{}, members: map[netip.AddrPort]*member{},
 		changed: make(chan struct{}), viewed: make(chan struct{}), onInstancesChange: func() {},
 	}
 }
