Keep an instance's limit over all VMs by one owner that counts

Cause: nothing acted on the header, and no VM alone could: with 12 to 34 VMs that send to an instance, each within the limit, only the sum exceeds it. The limit is a rate over the fleet, and needs one place that counts.

Now a VM that hears a limit passes it on with its exchanges, and each send to a limited instance takes a token from the limit's owner, a VM of the instance's failure domain. Without the owner's answer nothing is sent there. Requests that find no token wait for a part of their objective and are then refused as not run.

--- a/cmd/standin/emulator/instance.go
+++ b/cmd/standin/emulator/instance.go
@@ -30,6 +30,8 @@
 	behavior Behavior
 	runs     []Request
 	rejected int
+	// limit is the limit that its responses state, in requests per second; zero if none.
+	limit float64
 }
 
 // NewInstance starts an instance that listens on a free port of 127.0.0.1 and answers every request with 200.
@@ -59,6 +61,23 @@
 	i.behavior = b
 }
 
+// SetLimit sets the limit that all responses state from now on, in requests per second; zero states none.
+func (i *Instance) SetLimit(rate float64) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.limit = rate
+}
+
+// limitHeader returns the header line that states the limit; it is empty if there is none.
+func (i *Instance) limitHeader() string {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.limit == 0 {
+		return ""
+	}
+	return fmt.Sprintf("Server-Limit: %g\r\n", i.limit)
+}
+
 // ExecutedRequests returns a copy of the list of executed requests, in the order in which they were read.
 func (i *Instance) ExecutedRequests() []Request {
 	i.mu.Lock()
@@ -112,25 +131,28 @@
 }
 
 // Write sends a response with a server signature for the request with this ID.
-func Write(c net.Conn, id string, status int, body string) {
-	_, _ = fmt.Fprintf(c, "HTTP/1.1 %d X\r\nRequest-Id: %s\r\nServer-Signature: sig-%s\r\nContent-Length: %d\r\n\r\n%s",
-		status, id, id, len(body), body)
+func Write(c net.Conn, id string, status int, body string) { write(c, id, status, "", body) }
+
+// write is Write with further header lines.
+func write(c net.Conn, id string, status int, header, body string) {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 %d X\r\nRequest-Id: %s\r\nServer-Signature: sig-%s\r\n%sContent-Length: %d\r\n\r\n%s",
+		status, id, id, header, len(body), body)
 }
 
 // Answer responds with 200 and the instance's ID in the body.
 func Answer(c net.Conn, r *http.Request, i *Instance) {
-	Write(c, r.Header.Get("Request-Id"), http.StatusOK, "from "+i.ID)
+	write(c, r.Header.Get("Request-Id"), http.StatusOK, i.limitHeader(), "from "+i.ID)
 }
 
 // Fail executes the request and responds with a signed 500, an error of the instance itself.
-func Fail(c net.Conn, r *http.Request, _ *Instance) {
-	Write(c, r.Header.Get("Request-Id"), http.StatusInternalServerError, "failed")
+func Fail(c net.Conn, r *http.Request, i *Instance) {
+	write(c, r.Header.Get("Request-Id"), http.StatusInternalServerError, i.limitHeader(), "failed")
 }
 
 // Shed rejects the request with 503 and does not execute it.
 func Shed(c net.Conn, _ *http.Request, i *Instance) {
 	i.rejectLast()
-	_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+	_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n"+i.limitHeader()+"Content-Length: 0\r\n\r\n")
 }
 
 // Reset executes the request and resets the TCP connection instead of responding.
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -130,6 +130,28 @@
 	return s.balancer.Pick(now, r)
 }
 
+// Release ends a choice of Pick for which no request was sent. The instance is not picked again for the given time.
+func (p *Picker) Release(c balancer.Choice, pause time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.instanceService[c.ID]; s != nil {
+		s.balancer.Release(c, p.Clock.Now().Add(pause))
+	}
+}
+
+// NextAvailable returns the time until an instance of a service that is not available now may be picked for a request; ok
+// is false if there is none.
+func (p *Picker) NextAvailable(name string, r balancer.Request) (wait time.Duration, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.Clock.Now()
+	at, ok := p.service(name).balancer.NextAvailable(now, r)
+	if !ok {
+		return 0, false
+	}
+	return at.Sub(now), true
+}
+
 // TakeRetry takes one retry of a service from the budget, and reports whether one was left.
 func (p *Picker) TakeRetry(name string) bool {
 	p.mu.Lock()
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -72,21 +72,9 @@
 	if r.sent >= r.route.Attempts || r.unsent >= maxUnsent {
 		return r.giveUp(), false
 	}
-	if !r.awaitView(ctx) {
-		return r.giveUp(), false
-	}
-	if res, ok := r.checkKeyAge(); !ok && !r.mayHaveRun {
-		return res, false
-	} else if !ok {
-		return r.giveUp(), false
-	}
-	if r.sent > 0 && !r.Picker.TakeRetry(r.service) {
-		r.detail = "the budget of retries is used up"
-		return r.giveUp(), false
-	}
-	c, ok := r.Picker.Pick(r.service, balancer.Request{Idempotent: r.route.Idempotent, Tried: r.tried})
+	c, res, ok := r.choose(ctx)
 	if !ok {
-		return r.giveUp(), false
+		return res, false
 	}
 	r.tried = append(r.tried, c.ID)
 	r.sent++
@@ -206,7 +194,7 @@
 	if a.err != nil || resp.Status == http.StatusMisdirectedRequest || resp.Limit.Invalid || resp.Limit.Rate == 0 && !resp.Signed {
 		return
 	}
-	r.Tracker.ObserveLimit(a.choice.ID, resp.Limit.Rate, a.startedAt)
+	r.Limiter.ObserveLimit(a.choice.ID, resp.Limit.Rate, a.startedAt)
 }
 
 // impliesNotRun reports whether callers conclude from a status that the request has not run.
--- /dev/null
+++ b/internal/receiver/choose.go
@@ -0,0 +1,101 @@
+package receiver
+
+import (
+	"context"
+	"time"
+
+	"github.com/jacinthproxy/jacinthproxy/pkg/balancer"
+)
+
+// choose picks an instance that may get the request now, by a recent view of the instances and a recent configuration. If
+// there is none, ok is false and res is the result of the request unless another attempt is in flight.
+func (r *retrier) choose(ctx context.Context) (c balancer.Choice, res result, ok bool) {
+	if res, ok = r.checkBeliefs(ctx); !ok {
+		return c, res, false
+	}
+	if r.sent > 0 && !r.Picker.TakeRetry(r.service) {
+		r.detail = "the budget of retries is used up"
+		return c, r.giveUp(), false
+	}
+	// A hedge must not take the place of another request at an instance with a limit.
+	want := balancer.Request{Idempotent: r.route.Idempotent, Tried: r.tried, AvoidLimited: len(r.inFlight) > 0}
+	until := r.Clock.Now().Add(r.maxLimitWait())
+	refused := 0
+	for {
+		c, ok = r.Picker.Pick(r.service, want)
+		if ok && refused == maxLimitAsks {
+			r.Picker.Release(c, 0)
+		}
+		if !ok || refused == maxLimitAsks {
+			if res, ok = r.awaitToken(ctx, want, until, refused > 0); !ok {
+				return c, res, false
+			}
+			refused = 0
+			continue
+		}
+		d := r.Limiter.AdmitSend(ctx, c.ID)
+		if !d.Admitted {
+			r.Picker.Release(c, d.RetryAfter)
+			refused++
+			continue
+		}
+		if d.Owner == "" {
+			return c, result{}, true
+		}
+		// The instance may have left while its limit's owner was asked.
+		if res, ok = r.checkBeliefs(ctx); !ok {
+			r.Picker.Release(c, 0)
+			return c, res, false
+		}
+		if usable, _ := r.Tracker.Usable(c.ID); usable {
+			return c, result{}, true
+		}
+		r.Picker.Release(c, 0)
+	}
+}
+
+// checkBeliefs waits for a recent view of the instances and checks the age of the configuration.
+func (r *retrier) checkBeliefs(ctx context.Context) (res result, ok bool) {
+	if !r.awaitView(ctx) {
+		return r.giveUp(), false
+	}
+	if res, ok = r.checkKeyAge(); !ok && r.mayHaveRun {
+		return r.giveUp(), false
+	}
+	return res, ok
+}
+
+// awaitToken waits until an instance whose limit is reached may have a token again; refused says that the request was just
+// refused at one. If that is later than until, or there is no such instance, ok is false and res is the result of the request.
+func (r *retrier) awaitToken(ctx context.Context, want balancer.Request, until time.Time, refused bool) (res result, ok bool) {
+	wait, limited := r.Picker.NextAvailable(r.service, want)
+	if !limited && !refused {
+		return r.giveUp(), false
+	}
+	wait = max(wait, limitPause)
+	if len(r.inFlight) > 0 || r.Clock.Now().Add(wait).After(until) {
+		r.detail = "the limits of the instances are reached"
+		if r.mayHaveRun || r.sent > 0 {
+			return r.giveUp(), false
+		}
+		res = unavailable(ReasonLimited, r.detail)
+		res.retryAfter = jitteredRetryAfter(wait)
+		return res, false
+	}
+	select {
+	case <-ctx.Done():
+		return r.interrupted(), false
+	case <-r.Clock.After(wait):
+	}
+	return r.checkBeliefs(ctx)
+}
+
+// maxLimitWait returns how long the request may wait for an instance whose limit is not reached.
+func (r *retrier) maxLimitWait() time.Duration {
+	f := limitWaitNonIdempotent
+	if r.route.Idempotent {
+		f = limitWaitIdempotent
+	}
+	left := r.deadline.Sub(r.Clock.Now())
+	return min(time.Duration(f*float64(r.route.Objective)), left/2)
+}
--- a/internal/receiver/reason.go
+++ b/internal/receiver/reason.go
@@ -25,6 +25,8 @@
 	ReasonTooLarge
 	// ReasonNoInstance means that no instance was left to try or none could be reached; none ran the request.
 	ReasonNoInstance
+	// ReasonLimited means that the limits of all usable instances were reached; none ran the request.
+	ReasonLimited
 	// ReasonShed means that instances refused the request and no retry was left; none ran it.
 	ReasonShed
 	// ReasonBroken means that an instance may have run the request but returned no complete, genuine response.
@@ -38,7 +40,7 @@
 // notRun reports whether the reason implies that no instance ran the request.
 func (i Reason) notRun() bool {
 	switch i {
-	case ReasonNoConfiguration, ReasonStale, ReasonOverRate, ReasonNoInstance, ReasonShed, ReasonNoRoute, ReasonUnknownKey,
+	case ReasonNoConfiguration, ReasonStale, ReasonOverRate, ReasonNoInstance, ReasonLimited, ReasonShed, ReasonNoRoute, ReasonUnknownKey,
 		ReasonBadBody, ReasonTooLarge:
 		return true
 	case ReasonAnswered, ReasonBroken, ReasonTimeout, ReasonCanceled:
--- a/internal/receiver/reason_enumer.go
+++ b/internal/receiver/reason_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "answeredno-configurationno-routeunknown-keystaleover-ratebad-bodytoo-largeno-instanceshedbrokentimeoutcanceled"
+const _ReasonName = "answeredno-configurationno-routeunknown-keystaleover-ratebad-bodytoo-largeno-instancelimitedshedbrokentimeoutcanceled"
 
-var _ReasonIndex = [...]uint8{0, 8, 24, 32, 43, 48, 57, 65, 74, 85, 89, 95, 102, 110}
+var _ReasonIndex = [...]uint8{0, 8, 24, 32, 43, 48, 57, 65, 74, 85, 92, 96, 102, 109, 117}
 
-const _ReasonLowerName = "answeredno-configurationno-routeunknown-keystaleover-ratebad-bodytoo-largeno-instanceshedbrokentimeoutcanceled"
+const _ReasonLowerName = "answeredno-configurationno-routeunknown-keystaleover-ratebad-bodytoo-largeno-instancelimitedshedbrokentimeoutcanceled"
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_ReasonIndex)-1) {
@@ -33,13 +33,14 @@
 	_ = x[ReasonBadBody-(6)]
 	_ = x[ReasonTooLarge-(7)]
 	_ = x[ReasonNoInstance-(8)]
-	_ = x[ReasonShed-(9)]
-	_ = x[ReasonBroken-(10)]
-	_ = x[ReasonTimeout-(11)]
-	_ = x[ReasonCanceled-(12)]
+	_ = x[ReasonLimited-(9)]
+	_ = x[ReasonShed-(10)]
+	_ = x[ReasonBroken-(11)]
+	_ = x[ReasonTimeout-(12)]
+	_ = x[ReasonCanceled-(13)]
 }
 
-var _ReasonValues = []Reason{ReasonAnswered, ReasonNoConfiguration, ReasonNoRoute, ReasonUnknownKey, ReasonStale, ReasonOverRate, ReasonBadBody, ReasonTooLarge, ReasonNoInstance, ReasonShed, ReasonBroken, ReasonTimeout, ReasonCanceled}
+var _ReasonValues = []Reason{ReasonAnswered, ReasonNoConfiguration, ReasonNoRoute, ReasonUnknownKey, ReasonStale, ReasonOverRate, ReasonBadBody, ReasonTooLarge, ReasonNoInstance, ReasonLimited, ReasonShed, ReasonBroken, ReasonTimeout, ReasonCanceled}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:8]:     ReasonAnswered,
@@ -51,10 +52,11 @@
 	_ReasonName[57:65]:   ReasonBadBody,
 	_ReasonName[65:74]:   ReasonTooLarge,
 	_ReasonName[74:85]:   ReasonNoInstance,
-	_ReasonName[85:89]:   ReasonShed,
-	_ReasonName[89:95]:   ReasonBroken,
-	_ReasonName[95:102]:  ReasonTimeout,
-	_ReasonName[102:110]: ReasonCanceled,
+	_ReasonName[85:92]:   ReasonLimited,
+	_ReasonName[92:96]:   ReasonShed,
+	_ReasonName[96:102]:  ReasonBroken,
+	_ReasonName[102:109]: ReasonTimeout,
+	_ReasonName[109:117]: ReasonCanceled,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -67,10 +69,11 @@
 	_ReasonLowerName[57:65]:   ReasonBadBody,
 	_ReasonLowerName[65:74]:   ReasonTooLarge,
 	_ReasonLowerName[74:85]:   ReasonNoInstance,
-	_ReasonLowerName[85:89]:   ReasonShed,
-	_ReasonLowerName[89:95]:   ReasonBroken,
-	_ReasonLowerName[95:102]:  ReasonTimeout,
-	_ReasonLowerName[102:110]: ReasonCanceled,
+	_ReasonLowerName[85:92]:   ReasonLimited,
+	_ReasonLowerName[92:96]:   ReasonShed,
+	_ReasonLowerName[96:102]:  ReasonBroken,
+	_ReasonLowerName[102:109]: ReasonTimeout,
+	_ReasonLowerName[109:117]: ReasonCanceled,
 }
 
 var _ReasonNames = []string{
@@ -83,10 +86,11 @@
 	_ReasonName[57:65],
 	_ReasonName[65:74],
 	_ReasonName[74:85],
-	_ReasonName[85:89],
-	_ReasonName[89:95],
-	_ReasonName[95:102],
-	_ReasonName[102:110],
+	_ReasonName[85:92],
+	_ReasonName[92:96],
+	_ReasonName[96:102],
+	_ReasonName[102:109],
+	_ReasonName[109:117],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -42,6 +42,14 @@
 	// for a later one; the rest is for the connection to the instance. viewTimeout bounds the wait.
 	maxViewFraction = 0.85
 	viewTimeout     = 300 * time.Millisecond
+	// While the limits of all instances of a service are reached, a request waits for a token for up to a fraction of its
+	// route's objective. Requests that may run only once wait longer: an instance that can run them is worth more to them,
+	// since they cannot be sent again.
+	limitWaitIdempotent    = 0.2
+	limitWaitNonIdempotent = 0.4
+	// maxLimitAsks bounds how many owners of limits are asked in a row for one request, before limitPause.
+	maxLimitAsks = 5
+	limitPause   = 20 * time.Millisecond
 	// maxDenyAge is the age of the configuration up to which requests are denied. A newer configuration may already
 	// have the unknown route or key.
 	maxDenyAge = 2500 * time.Millisecond
@@ -78,9 +86,6 @@
 	AwaitView(ctx context.Context, maxAge, timeout time.Duration) bool
 	// Usable reports whether an instance may get new requests, and the age of the view that says so.
 	Usable(instance string) (usable bool, viewAge time.Duration)
-	// ObserveLimit records what the response to a request that was sent at the given time stated about an instance's
-	// limit, in requests per second; zero if there is none.
-	ObserveLimit(instance string, rate float64, sentAt time.Time)
 	// MarkMoved marks an instance as no longer present at its address.
 	MarkMoved(id string)
 }
@@ -91,12 +96,26 @@
 	Admit(ctx context.Context, a *router.Account) relayer.Admission
 }
 
+// Limiter enforces the limits that instances state.
+type Limiter interface {
+	// AdmitSend decides whether a request may be sent to an instance now.
+	AdmitSend(ctx context.Context, instance string) relayer.Admission
+	// ObserveLimit records what the response to a request that was sent at the given time stated about an instance's
+	// limit, in requests per second; zero if there is none.
+	ObserveLimit(instance string, rate float64, sentAt time.Time)
+}
+
 // Picker chooses instances.
 type Picker interface {
 	// CountRequest counts a caller's request for a service; the retry budget is proportional to these.
 	CountRequest(service string)
 	// Pick chooses an instance and counts the request as in flight there until Done; false if there is none.
 	Pick(service string, r balancer.Request) (balancer.Choice, bool)
+	// Release ends a choice of Pick for which no request was sent. The instance is not picked again for the given time.
+	Release(c balancer.Choice, pause time.Duration)
+	// NextAvailable returns the time until an instance of a service that is not available now may be picked for a request;
+	// ok is false if there is none.
+	NextAvailable(service string, r balancer.Request) (wait time.Duration, ok bool)
 	// TakeRetry takes one retry from the budget of a service; false if the budget is exhausted.
 	TakeRetry(service string) bool
 	// Done records the outcome of a request at an instance and how long it took.
@@ -123,6 +142,7 @@
 	HeaderNames HeaderNames
 	Tracker     Tracker
 	Admitter    Admitter
+	Limiter     Limiter
 	Picker      Picker
 	Sender      Sender
 	Observer    Observer
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -38,8 +39,13 @@
 	moved       []string
 	outcomes    []balancer.Outcome
 	// limits are the limits that were observed, by instance.
-	limits  []string
-	leaving bool
+	limits []string
+	// admitSend decides on requests to instances; nil admits all.
+	admitSend func(id string) relayer.Admission
+	released  []string
+	// nextAvailable is the time until a released instance may be picked again; zero if none was released.
+	nextAvailable time.Duration
+	leaving       bool
 	// alone is set while the VM does not know its peers.
 	alone bool
 	// left is set if the instances left while requests were in flight there.
@@ -76,7 +82,7 @@
 			HeaderNames: forwarder.HeaderNames{RequestID: "Id", Signature: "Sig", NotRun: "Nr"},
 			Key:         "Key", Account: "Account", Deadline: "Deadline", ExpectedInstance: "Expected",
 		},
-		Tracker: f, Admitter: f, Picker: f, Sender: f, Observer: f, MaxKeyAge: 5 * time.Second, DrainTimeout: 2 * time.Second,
+		Tracker: f, Admitter: f, Limiter: f, Picker: f, Sender: f, Observer: f, MaxKeyAge: 5 * time.Second, DrainTimeout: 2 * time.Second,
 		Draining: func() bool { return f.leaving }, Clock: f.clock, Logger: zap.New(core),
 	})
 	return f
@@ -100,6 +106,18 @@
 	return !f.stale
 }
 func (f *fixture) Usable(string) (bool, time.Duration) { return !f.left, 40 * time.Millisecond }
+func (f *fixture) AdmitSend(_ context.Context, id string) relayer.Admission {
+	if f.admitSend == nil {
+		return relayer.Admission{Admitted: true}
+	}
+	return f.admitSend(id)
+}
+func (f *fixture) Release(c balancer.Choice, pause time.Duration) {
+	f.released = append(f.released, fmt.Sprint(c.ID, " ", pause))
+}
+func (f *fixture) NextAvailable(string, balancer.Request) (time.Duration, bool) {
+	return f.nextAvailable, f.nextAvailable > 0
+}
 func (f *fixture) ObserveLimit(id string, rate float64, _ time.Time) {
 	f.limits = append(f.limits, fmt.Sprint(id, " ", rate))
 }
@@ -398,3 +416,56 @@
 		})
 	}
 }
+
+// admitAfter refuses the first n requests to instances.
+func (f *fixture) admitAfter(n int, retryAfter time.Duration) {
+	f.admitSend = func(string) relayer.Admission {
+		n--
+		return relayer.Admission{Admitted: n < 0, RetryAfter: retryAfter, Owner: "10.0.0.9:1"}
+	}
+}
+
+func TestRequestRefusedByALimitGoesToAnotherInstance(t *testing.T) {
+	f := newFixture()
+	f.admitAfter(2, 40*time.Millisecond)
+	require.Equal(t, http.StatusOK, f.serve("/once/x", "secret").Code)
+	require.Equal(t, []string{"i-1 40ms", "i-1 40ms"}, f.released)
+	require.Len(t, f.sends, 1)
+	require.Equal(t, 5, f.retries, "a request that was not sent needs no retry")
+}
+
+func TestRequestBeyondAllLimitsIsRefusedAtOnce(t *testing.T) {
+	f := newFixture()
+	f.admitAfter(1000, time.Second)
+	f.nextAvailable = time.Second
+	rec := f.serve("/once/x", "secret")
+	require.Equal(t, http.StatusServiceUnavailable, rec.Code)
+	after, err := strconv.ParseFloat(rec.Header().Get("Retry-After"), 64)
+	require.NoError(t, err)
+	require.GreaterOrEqual(t, after, 1.0)
+	require.Empty(t, f.sends)
+	require.Equal(t, "limited", f.logLine(t)["reason"])
+	require.Equal(t, true, f.logLine(t)["notRun"])
+}
+
+func TestRequestWaitsForATokenOfALimitedInstance(t *testing.T) {
+	f := newFixture()
+	f.admitAfter(5, 100*time.Millisecond)
+	f.nextAvailable = 100 * time.Millisecond
+	done := make(chan int)
+	go func() { done <- f.serve("/once/x", "secret").Code }()
+	require.NoError(t, f.clock.BlockUntilContext(t.Context(), 1))
+	f.clock.Advance(100 * time.Millisecond)
+	require.Equal(t, http.StatusOK, <-done)
+}
+
+func TestRequestIsNotSentToInstanceThatLeftWhileItsLimitWasAsked(t *testing.T) {
+	f := newFixture()
+	f.admitSend = func(string) relayer.Admission {
+		f.left = !f.left
+		return relayer.Admission{Admitted: true, Owner: "10.0.0.9:1"}
+	}
+	require.Equal(t, http.StatusOK, f.serve("/once/x", "secret").Code)
+	require.Equal(t, []string{"i-1 0s"}, f.released)
+	require.Len(t, f.sends, 1)
+}
--- a/internal/relayer/constants.go
+++ b/internal/relayer/constants.go
@@ -89,6 +89,16 @@
 	// this VM continues at that rate without the owner. The grants to all VMs together were within the rate, and a
 	// new owner is known by then.
 	grantWindow = 1500 * time.Millisecond
+	// The bucket of an instance's limit holds limitBurst tokens and limitBurstSeconds of the limit, and starts with
+	// limitBurst.
+	limitBurst        = 1
+	limitBurstSeconds = 0.25
+	// limitOwnerBackoff is how long an instance is skipped whose limit's owner did not answer.
+	limitOwnerBackoff = 300 * time.Millisecond
+	// maxLimitDelay bounds the time after which an owner is asked again: the limit may have ended.
+	maxLimitDelay = 2 * time.Second
+	// limitBucketTTL is how long an unused bucket of a limit is kept.
+	limitBucketTTL = time.Minute
 	// downMemberTTL is how long a VM that went down without announcing that it leaves is counted as a VM that may
 	// still admit requests on its side of a network partition.
 	downMemberTTL = 30 * time.Second
--- a/internal/relayer/counters.go
+++ b/internal/relayer/counters.go
@@ -17,6 +17,13 @@
 	return maps.Clone(r.decisions)
 }
 
+// LimitDecisions returns the number of decisions on requests to instances with a limit since the start.
+func (r *Relayer) LimitDecisions() map[string]float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.limitDecisions)
+}
+
 // OwnedRates returns the number of accounts whose token bucket this VM holds.
 func (r *Relayer) OwnedRates() float64 {
 	r.rates.mu.Lock()
@@ -46,3 +53,9 @@
 	defer r.mu.Unlock()
 	r.decisions[where+how]++
 }
+
+func (r *Relayer) countLimitDecision(decision string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.limitDecisions[decision]++
+}
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -38,6 +38,11 @@
 		sent, r.outgoing = r.outgoing, outbox{}
 		m.Seen = sent.message()
 	}
+	limitsSequence := k.limitsSequence
+	if !leader {
+		heard, n := r.Tracker.HeardLimits(k.limitsSequence)
+		limitsSequence, m.Limits = n, toLimits(r.Clock.Now(), heard)
+	}
 	began := r.Clock.Now()
 	m.LoadsKnown = !leader && began.Sub(k.loadsSentAt) >= fullReportInterval
 	r.mu.Unlock()
@@ -52,7 +57,11 @@
 	if m.LoadsKnown {
 		k.loadsSentAt = began
 	}
-	r.applyBeliefs(to, leader, began, k.loadsSentAt, b)
+	if k.incarnation != 0 && k.incarnation != b.GetIncarnation() {
+		limitsSequence = 0 // The peer started again and has only the latest changes.
+	}
+	k.limitsSequence = limitsSequence
+	r.applyBeliefs(to, leader, began, k, b)
 	if wait > 0 && !leader && !r.fresh(b) {
 		return errStale
 	}
@@ -93,7 +102,7 @@
 
 // applyBeliefs applies the state of a peer. The ages in it are counted from the start of the exchange plus the time
 // that the peer held the reply, because the reply may have waited here unread.
-func (r *Relayer) applyBeliefs(from placer.VM, leader bool, began, loadsSentAt time.Time, b *wire.Beliefs) {
+func (r *Relayer) applyBeliefs(from placer.VM, leader bool, began time.Time, k cursor, b *wire.Beliefs) {
 	now := r.Clock.Now()
 	if c := b.GetConfiguration(); len(c) > 0 {
 		var conf router.Configuration
@@ -118,6 +127,7 @@
 		instances.Entries = append(instances.Entries, e)
 	}
 	r.Tracker.MergeInstances(from.Address, instances)
+	r.Tracker.MergeLimits(from.Address.String(), fromLimits(now, sent, b.GetLimits()))
 	if b.GetConfigurationKnown() {
 		r.Tracker.MarkTableFresh(sent.Add(-time.Duration(b.GetConfigurationAgeMs()) * time.Millisecond))
 	}
@@ -133,7 +143,8 @@
 		}
 	}
 	r.mu.Lock()
-	r.cursors[from.Address] = cursor{b.GetIncarnation(), b.GetSequence(), loadsSentAt}
+	k.incarnation, k.sequence = b.GetIncarnation(), b.GetSequence()
+	r.cursors[from.Address] = k
 	if leader {
 		r.domainsLive[from.Domain] = liveCount{int(b.GetLive()), sent}
 	} else {
@@ -235,6 +246,7 @@
 	}
 	r.mu.Unlock()
 	r.distribute(from.Address, false, m.GetSeen())
+	r.Tracker.MergeLimits(from.Address.String(), fromLimits(began, began, m.GetLimits()))
 	sequence := m.GetSequence()
 	if m.GetIncarnation() != r.Self.Incarnation {
 		sequence = 0
@@ -344,6 +356,7 @@
 			Vm: messenger.ToVM(m.VM), Role: uint32(m.Role), Capacity: m.Capacity, AgeMs: ageMs(now, m.AsOf),
 		})
 	}
+	rep.Limits = toLimits(now, c.Limits)
 	return rep
 }
 
@@ -397,12 +410,16 @@
 	return domain, fleet
 }
 
-// reachableShare returns the share of the fleet that this VM reaches, as a leader or through its leader. It is 1 during
-// a cold start.
+// reachableShare returns the share of the fleet for which this VM grants an account's rate. It is 1 during a cold start.
 func (r *Relayer) reachableShare() float64 {
 	if r.coldStart() {
 		return 1
 	}
+	return r.liveShare()
+}
+
+// liveShare returns the share of the fleet that this VM reaches, as a leader or through its leader, plus reachableSlack.
+func (r *Relayer) liveShare() float64 {
 	known := 0
 	now := r.Clock.Now()
 	for _, m := range r.Tracker.Members() {
--- /dev/null
+++ b/internal/relayer/limits.go
@@ -0,0 +1,166 @@
+package relayer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/jacinthproxy/jacinthproxy/internal/messenger/wire"
+	"github.com/jacinthproxy/jacinthproxy/internal/tracker"
+	"github.com/jacinthproxy/jacinthproxy/pkg/limiter"
+	"github.com/jacinthproxy/jacinthproxy/pkg/placer"
+)
+
+// limits holds the token buckets of the instances' limits that this VM owns.
+type limits struct {
+	relayer *Relayer
+	mu      sync.Mutex
+	buckets map[string]*limitBucket
+}
+
+type limitBucket struct {
+	*limiter.Bucket
+	usedAt time.Time
+}
+
+func newLimits(r *Relayer) *limits {
+	return &limits{relayer: r, buckets: map[string]*limitBucket{}}
+}
+
+// ObserveLimit records what a response to a request that was sent at the given time stated about an instance's limit, in
+// requests per second; zero if it stated none. The leader of this VM's domain is told of a change at once.
+func (r *Relayer) ObserveLimit(instance string, rate float64, sentAt time.Time) {
+	if r.Tracker.ObserveLimit(instance, rate, sentAt) {
+		r.wakeReport()
+	}
+}
+
+// AdmitSend decides whether a request may be sent to an instance now. If the instance has a limit, the limit's owner
+// decides. Without its decision the request is not admitted: a limit that several VMs count for themselves is exceeded.
+func (r *Relayer) AdmitSend(ctx context.Context, instance string) Admission {
+	l, domain, ok := r.Tracker.Limit(instance)
+	if !ok {
+		return Admission{Admitted: true}
+	}
+	o, ok := r.limitOwner(instance, domain)
+	if !ok {
+		return Admission{RetryAfter: limitOwnerBackoff}
+	}
+	var t *wire.Taken
+	var err error
+	if o.Address == r.Self.Address {
+		t, err = r.limits.grant(instance)
+	} else {
+		t, err = r.takeFromOwner(ctx, o, &wire.Request{Body: &wire.Request_TakeSend{
+			TakeSend: &wire.TakeSend{Limit: toLimit(r.Clock.Now(), l)},
+		}})
+	}
+	if err != nil {
+		r.countLimitDecision("unanswered")
+		return Admission{RetryAfter: limitOwnerBackoff}
+	}
+	d := admission(t, o.ID())
+	if d.Admitted {
+		r.countLimitDecision("admitted")
+	} else {
+		r.countLimitDecision("refused")
+	}
+	return d
+}
+
+// limitOwner returns the VM that counts the requests to an instance: one of the instance's failure domain if there is any,
+// since most requests come from there.
+func (r *Relayer) limitOwner(instance, domain string) (placer.VM, bool) {
+	key := "limit/" + instance
+	if o, ok := placer.First(key, r.candidates(func(m tracker.Member) bool { return m.Domain == domain })); ok {
+		return o, true
+	}
+	return placer.First(key, r.candidates(func(tracker.Member) bool { return true }))
+}
+
+// handleTakeSend decides on a request of a peer to an instance whose limit this VM owns. The peer may know a later limit.
+func (r *Relayer) handleTakeSend(from placer.VM, m *wire.TakeSend) (*wire.Taken, error) {
+	r.Tracker.MergeLimits(from.Address.String(), []tracker.Limit{fromLimit(r.Clock.Now(), m.GetLimit())})
+	return r.limits.grant(m.GetLimit().GetInstance())
+}
+
+// grant takes a token from the bucket of an instance's limit, and creates the bucket if there is none.
+func (s *limits) grant(instance string) (*wire.Taken, error) {
+	r := s.relayer
+	if err := r.checkOwner(); err != nil {
+		return nil, err
+	}
+	l, domain, ok := r.Tracker.Limit(instance)
+	if !ok {
+		return &wire.Taken{Tokens: 1}, nil
+	}
+	if o, ok := r.limitOwner(instance, domain); !ok || o.Address != r.Self.Address {
+		return nil, errors.New("another daemon owns the limit of the instance")
+	}
+	// An owner that lost contact with a part of the fleet leaves that part its share of the limit.
+	limit := limiter.Limit{Rate: l.Rate * r.liveShare(), Burst: limiter.Tokens(limitBurst + limitBurstSeconds*l.Rate)}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := r.Clock.Now()
+	b := s.buckets[instance]
+	if b == nil {
+		s.dropUnused(now)
+		b = &limitBucket{Bucket: limiter.NewBucket(now, limit, limitBurst)}
+		s.buckets[instance] = b
+		r.Logger.Info("owning limit", zap.String("instance", instance), zap.Float64("rate", l.Rate))
+	}
+	b.usedAt = now
+	b.SetLimit(now, limit)
+	if b.Level(now) >= 1 {
+		b.Take(now, 1, nil)
+		return &wire.Taken{Tokens: 1}, nil
+	}
+	next := time.Duration(float64(1-b.Level(now)) / limit.Rate * float64(time.Second))
+	return &wire.Taken{NextMs: uint32(min(next, maxLimitDelay).Milliseconds() + 1)}, nil
+}
+
+// dropUnused drops the buckets that were not used for limitBucketTTL. s.mu must be held.
+func (s *limits) dropUnused(now time.Time) {
+	for i, b := range s.buckets {
+		if now.Sub(b.usedAt) > limitBucketTTL {
+			delete(s.buckets, i)
+		}
+	}
+}
+
+func toLimit(now time.Time, l tracker.Limit) *wire.Limit {
+	return &wire.Limit{Instance: l.Instance, Incarnation: l.Incarnation, Rate: l.Rate, AgeMs: ageMs(now, l.AsOf)}
+}
+
+// fromLimit is the inverse of toLimit. The time that the message took is unknown, so a limit seems later than it is.
+func fromLimit(now time.Time, m *wire.Limit) tracker.Limit {
+	return tracker.Limit{
+		Instance: m.GetInstance(), Incarnation: m.GetIncarnation(), Rate: m.GetRate(),
+		AsOf: now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond),
+	}
+}
+
+// fromLimits decodes limits in a message that was sent at the given time or later. The end of a limit must not seem later
+// than it is, else it could hide a limit that came after it.
+func fromLimits(now, sent time.Time, ms []*wire.Limit) []tracker.Limit {
+	ls := make([]tracker.Limit, 0, len(ms))
+	for _, m := range ms {
+		at := now
+		if m.GetRate() == 0 {
+			at = sent
+		}
+		ls = append(ls, fromLimit(at, m))
+	}
+	return ls
+}
+
+func toLimits(now time.Time, ls []tracker.Limit) []*wire.Limit {
+	ms := make([]*wire.Limit, 0, len(ls))
+	for _, l := range ls {
+		ms = append(ms, toLimit(now, l))
+	}
+	return ms
+}
--- a/internal/relayer/rates.go
+++ b/internal/relayer/rates.go
@@ -73,7 +73,7 @@
 	if o.Address == r.Self.Address {
 		t, err = r.rates.grant(a.Name, 1)
 	} else {
-		t, err = r.askOwner(ctx, o, a.Name)
+		t, err = r.takeFromOwner(ctx, o, &wire.Request{Body: &wire.Request_Take{Take: &wire.Take{Account: a.Name, Want: 1}}})
 	}
 	if err != nil {
 		return r.rates.admitWithoutOwner(a)
@@ -82,16 +82,16 @@
 	return admission(t, o.ID())
 }
 
-// askOwner takes a token from the bucket of another VM.
-func (r *Relayer) askOwner(ctx context.Context, o placer.VM, account string) (*wire.Taken, error) {
+// takeFromOwner takes a token from a bucket of another VM.
+func (r *Relayer) takeFromOwner(ctx context.Context, o placer.VM, req *wire.Request) (*wire.Taken, error) {
 	if r.Suspected(o.Address) {
-		return nil, errors.New("the owner of the rate is suspected to be down")
+		return nil, errors.New("the owner is suspected to be down")
 	}
 	c, cancel := context.WithTimeout(ctx, takeTimeout)
 	defer cancel()
-	rep, err := r.call(c, o.Address, &wire.Request{Body: &wire.Request_Take{Take: &wire.Take{Account: account, Want: 1}}})
+	rep, err := r.call(c, o.Address, req)
 	if err != nil && ctx.Err() == nil && !errors.Is(err, messenger.ErrRefused) {
-		r.suspect(o.Address, errors.Wrap(err, "take a token from the owner of a rate"))
+		r.suspect(o.Address, errors.Wrap(err, "take a token from the owner of a rate or a limit"))
 	}
 	return rep.GetTaken(), err
 }
@@ -104,11 +104,8 @@
 // none.
 func (s *rates) grant(account string, want int) (*wire.Taken, error) {
 	r := s.relayer
-	if r.Role() == tracker.RoleLeaving {
-		return nil, errors.New("this daemon is leaving")
-	}
-	if !r.Tracker.MembersKnown() {
-		return nil, errors.New("this daemon does not know its peers yet")
+	if err := r.checkOwner(); err != nil {
+		return nil, err
 	}
 	t, _ := r.Tracker.Table()
 	if t == nil {
@@ -140,6 +137,17 @@
 	return &wire.Taken{NextMs: uint32(b.RetryAfter(now, share).Milliseconds() + 1)}, nil
 }
 
+// checkOwner returns an error if this VM must not own a rate or a limit now.
+func (r *Relayer) checkOwner() error {
+	if r.Role() == tracker.RoleLeaving {
+		return errors.New("this daemon is leaving")
+	}
+	if !r.Tracker.MembersKnown() {
+		return errors.New("this daemon does not know its peers yet")
+	}
+	return nil
+}
+
 // coldStart reports whether nearly all VMs of the fleet started just now.
 func (r *Relayer) coldStart() bool {
 	ms := r.Tracker.Members()
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -47,6 +47,7 @@
 type Relayer struct {
 	Options
 	rates     *rates
+	limits    *limits
 	startedAt time.Time
 
 	mu   sync.Mutex
@@ -64,7 +65,7 @@
 	// outboxes collect the observations of this and other VMs for the peers that exchange with this one.
 	outboxes map[netip.AddrPort]*peerOutbox
 	// reads and decisions are counters for the metrics.
-	reads, decisions map[string]float64
+	reads, decisions, limitDecisions map[string]float64
 	// reportedInstances is the number of instances in the last full report.
 	reportedInstances int
 	// peerLoads are the numbers of requests that peers have in flight at the instances.
@@ -105,6 +106,8 @@
 	sequence    uint64
 	// loadsSentAt is when this VM's loads were last sent to the peer.
 	loadsSentAt time.Time
+	// limitsSequence is the tracker's sequence number up to which the peer has the limits that this VM heard of.
+	limitsSequence uint64
 }
 
 // New returns a relayer; Run starts it.
@@ -113,9 +116,9 @@
 		Options: o, startedAt: o.Clock.Now(), suspects: map[netip.AddrPort]time.Time{}, staleLeaders: map[netip.AddrPort]time.Time{}, lastExchange: map[netip.AddrPort]time.Time{}, outgoing: outbox{},
 		outboxes: map[netip.AddrPort]*peerOutbox{}, peerLoads: map[netip.AddrPort]loadReport{}, reportCh: make(chan struct{}, 1),
 		cursors: map[netip.AddrPort]cursor{}, domainsLive: map[string]liveCount{},
-		reads: map[string]float64{}, decisions: map[string]float64{},
+		reads: map[string]float64{}, decisions: map[string]float64{}, limitDecisions: map[string]float64{},
 	}
-	r.rates = newRates(r)
+	r.rates, r.limits = newRates(r), newLimits(r)
 	return r
 }
 
@@ -329,10 +332,14 @@
 		return &wire.Reply{Body: &wire.Reply_Beliefs{Beliefs: r.handleExchange(ctx, from, b.Exchange)}}, nil, nil
 	case *wire.Request_Take:
 		t, err := r.rates.grant(b.Take.GetAccount(), int(b.Take.GetWant()))
-		if err != nil {
-			return nil, nil, err
-		}
-		return &wire.Reply{Body: &wire.Reply_Taken{Taken: t}}, nil, nil
+		return takenReply(t), nil, err
+	case *wire.Request_TakeSend:
+		t, err := r.handleTakeSend(from, b.TakeSend)
+		return takenReply(t), nil, err
 	}
 	return nil, nil, errors.New("the message is of a kind that this daemon does not know")
 }
+
+func takenReply(t *wire.Taken) *wire.Reply {
+	return &wire.Reply{Body: &wire.Reply_Taken{Taken: t}}
+}
--- a/internal/runner/operators.go
+++ b/internal/runner/operators.go
@@ -89,9 +89,10 @@
 			_, n := r.forwarder.Stats()
 			return float64(n)
 		}),
-		"store_reads":    {"Reads of the store since the start, by what was read and the result.", "read", r.relayer.StoreReads},
-		"rate_decisions": {"Requests since the start whose rate was decided, by where and how.", "decision", r.relayer.RateDecisions},
-		"owned_rates":    single("Client accounts whose rate this VM holds.", r.relayer.OwnedRates),
-		"retries_left":   {"Retries that this VM's share of the budget has, by service.", "service", r.picker.RetriesLeft},
+		"store_reads":     {"Reads of the store since the start, by what was read and the result.", "read", r.relayer.StoreReads},
+		"limit_decisions": {"Requests since the start to instances with a limit, by the decision of the limit's owner.", "decision", r.relayer.LimitDecisions},
+		"rate_decisions":  {"Requests since the start whose rate was decided, by where and how.", "decision", r.relayer.RateDecisions},
+		"owned_rates":     single("Client accounts whose rate this VM holds.", r.relayer.OwnedRates),
+		"retries_left":    {"Retries that this VM's share of the budget has, by service.", "service", r.picker.RetriesLeft},
 	}
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -100,7 +100,7 @@
 		return errors.Wrap(err, "listen for callers")
 	}
 	handler := receiver.New(receiver.Options{
-		HeaderNames: r.HeaderNames, Tracker: r.tracker, Admitter: r.relayer, Picker: r.picker, Sender: r.forwarder, Observer: r.metrics,
+		HeaderNames: r.HeaderNames, Tracker: r.tracker, Admitter: r.relayer, Limiter: r.relayer, Picker: r.picker, Sender: r.forwarder, Observer: r.metrics,
 		MaxKeyAge: s.Bounds.MaxKeyAge, DrainTimeout: s.Bounds.DrainTimeout, Started: r.Clock.Now(), Draining: r.draining, Clock: r.Clock, Logger: r.Logger,
 	})
 	r.frontend = newFrontend(callers, handler, r.limits)
--- a/internal/tracker/instances.go
+++ b/internal/tracker/instances.go
@@ -192,6 +192,7 @@
 func (t *Tracker) expire() bool {
 	now := t.clock.Now()
 	changed := false
+	t.expireLimits(now)
 	for id, r := range t.records {
 		switch {
 		case !r.expiresAt.IsZero() && !now.Before(r.expiresAt):
@@ -237,7 +238,9 @@
 	var is []balancer.Instance
 	for _, r := range t.records {
 		if r.usable() {
-			is = append(is, r.Instance)
+			i := r.Instance
+			i.Limit = t.limitRate(i.ID)
+			is = append(is, i)
 		}
 	}
 	return is
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -230,6 +230,7 @@
 	// End is the offset up to which the sender's records cover the registry; zero if unknown.
 	End     uint64
 	Members []Member
+	Limits  []Limit
 	// TableReadAt and EntriesReadAt are the start times of the reads that confirmed the configuration and the
 	// instances; zero if there were none.
 	TableReadAt, EntriesReadAt time.Time
@@ -256,5 +257,10 @@
 			c.Members = append(c.Members, m.Member)
 		}
 	}
+	for _, l := range t.limits {
+		if l.sequence > sequence {
+			c.Limits = append(c.Limits, l.Limit)
+		}
+	}
 	return c, t.changed
 }
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -65,6 +65,10 @@
 	fullTTL = 300 * time.Millisecond
 	// fullCost is the additional cost of an instance that counts as full, in service times.
 	fullCost = 1.0
+	// While instances have limits, the others get no more than maxQueue requests for each of their slots: what the limits
+	// keep away would fill their queues. fullRetryInterval is the time until one that is full may have room.
+	maxQueue          = 2
+	fullRetryInterval = 30 * time.Millisecond
 	// peerInFlightTTL is how long the number of requests that peers run at an instance is valid after its last update.
 	peerInFlightTTL = 1500 * time.Millisecond
 	// latencyWeight is the weight of a new sample in the moving average of relative latency.
@@ -83,6 +87,9 @@
 	Slots   int            `json:"slots"`
 	// WarmAt is when the instance reaches its full speed.
 	WarmAt time.Time `json:"warmAt,omitzero"`
+	// Limit is the request rate that the instance accepts from all processes together, in requests per second; zero if it
+	// stated none.
+	Limit float64 `json:"limit,omitempty"`
 }
 
 // state is the state of an instance as this process knows it from its own requests and from reports of peers.
@@ -107,6 +114,8 @@
 	lastAnswerAt time.Time
 	// fullUntil is the end of the time for which the instance counts as full because it refused a request.
 	fullUntil time.Time
+	// withheldUntil is the end of the time for which the instance is not picked because its limit is reached.
+	withheldUntil time.Time
 	// suspect is true while the instance is out of use because of its evidence.
 	suspect bool
 }
@@ -121,6 +130,8 @@
 	local, remote []*state
 	// refreshedAt is when suspicion was last recomputed; zero forces the next refreshSuspects to recompute it.
 	refreshedAt time.Time
+	// limited is set if any instance has a limit.
+	limited bool
 	// dueTrials is a buffer that pickTrial reuses.
 	dueTrials []*state
 }
@@ -134,8 +145,9 @@
 // keeps its state.
 func (b *Balancer) SetInstances(now time.Time, is []Instance) {
 	next := make(map[string]*state, len(is))
-	b.order = b.order[:0]
+	b.order, b.limited = b.order[:0], false
 	for _, i := range is {
+		b.limited = b.limited || i.Limit > 0
 		s := b.instances[i.ID]
 		if s == nil || s.Address != i.Address {
 			s = &state{relativeLatency: 1, decayedAt: now, lastActivityAt: now}
@@ -156,10 +168,26 @@
 	// no answers that peers could report meanwhile, and a healthy one that is wrongly suspected must not be without
 	// requests.
 	LowRetryBudget bool
+	// AvoidLimited is true if the request must not go to an instance with a limit.
+	AvoidLimited bool
 	// Tried are the IDs of the instances to which the request was already sent.
 	Tried []string
 }
 
+// hasRoom reports whether a request may be sent to an instance now as far as limits are concerned.
+func (b *Balancer) hasRoom(now time.Time, s *state, r Request) bool {
+	if s.Limit > 0 {
+		return !r.AvoidLimited && !now.Before(s.withheldUntil)
+	}
+	return !b.limited || s.load(now) < maxQueue*max(1, s.Slots)
+}
+
+// available reports whether an instance that has room may get a request. While instances have limits, one that fails would
+// attract what these keep away, since it has few requests in flight; it gets trials only.
+func (b *Balancer) available(now time.Time, s *state, r Request) bool {
+	return b.hasRoom(now, s, r) && (!b.limited || s.evidence < suspectThreshold)
+}
+
 // Choice is a picked instance with the state that it was picked in.
 type Choice struct {
 	Instance
@@ -179,7 +207,7 @@
 func (b *Balancer) Pick(now time.Time, r Request) (Choice, bool) {
 	b.refreshSuspects(now)
 	if r.Idempotent && len(r.Tried) == 0 {
-		if s := b.pickTrial(now, r.LowRetryBudget); s != nil {
+		if s := b.pickTrial(now, r); s != nil {
 			return b.assign(now, s, true), true
 		}
 	}
@@ -202,9 +230,13 @@
 	if len(candidates) == 0 {
 		return best, lowest
 	}
-	first := b.random.IntN(len(candidates))
-	for n := 0; n < min(maxSamples, len(candidates)) && (n < minSamples || lowest > goodCost); n++ {
+	first, samples := b.random.IntN(len(candidates)), 0
+	for n := 0; n < len(candidates) && samples < maxSamples && (samples < minSamples || lowest > goodCost); n++ {
 		s := candidates[(first+n)%len(candidates)]
+		if !b.available(now, s, r) {
+			continue
+		}
+		samples++
 		if slices.Contains(r.Tried, s.ID) {
 			continue
 		}
@@ -216,22 +248,31 @@
 }
 
 // pickFallback returns the cheapest of all instances that the request has not tried, and a suspected one only if there
-// is no other. It is needed for services with few instances, or few that the request has not tried.
+// is no other, not even one that is available later. It is needed for services with few instances, or few that the request
+// has not tried.
 func (b *Balancer) pickFallback(now time.Time, r Request) *state {
 	var best *state
 	lowest := math.Inf(1)
+	later := false
 	for _, s := range b.order {
 		if slices.Contains(r.Tried, s.ID) {
 			continue
 		}
+		if !b.hasRoom(now, s, r) {
+			later = later || s.evidence < suspectThreshold
+			continue
+		}
 		c := b.cost(now, s, r)
-		if s.suspect {
+		if s.suspect || !b.available(now, s, r) {
 			c += 1000 + s.evidence
 		}
 		if c < lowest {
 			best, lowest = s, c
 		}
 	}
+	if later && best != nil && best.evidence >= suspectThreshold {
+		return nil
+	}
 	return best
 }
 
@@ -248,7 +289,7 @@
 
 // pickTrial returns an instance for a trial by an idempotent request, or nil. Of two random instances that are due, it
 // returns the one with the longer time without activity, so that VMs with the same view don't all choose the same one.
-func (b *Balancer) pickTrial(now time.Time, lowRetryBudget bool) *state {
+func (b *Balancer) pickTrial(now time.Time, r Request) *state {
 	if b.random.Float64() >= trialProbability {
 		return nil
 	}
@@ -258,10 +299,10 @@
 		if s.Domain != b.domain {
 			after = remoteTrialAfter
 		}
-		if lowRetryBudget && s.suspect {
+		if r.LowRetryBudget && s.suspect {
 			after = after * 3 / 2
 		}
-		if s.trialsInFlight == 0 && now.Sub(s.lastActivityAt) > after {
+		if s.trialsInFlight == 0 && now.Sub(s.lastActivityAt) > after && b.hasRoom(now, s, r) {
 			b.dueTrials = append(b.dueTrials, s)
 		}
 	}
@@ -373,6 +414,37 @@
 	}
 }
 
+// Release ends a choice of Pick for which no request was sent. The instance is not picked again before a given time.
+func (b *Balancer) Release(c Choice, until time.Time) {
+	s := b.instances[c.ID]
+	if s == nil {
+		return
+	}
+	s.inFlight = max(0, s.inFlight-1)
+	if c.Trial {
+		s.trialsInFlight = max(0, s.trialsInFlight-1)
+	}
+	s.withheldUntil = until
+}
+
+// NextAvailable returns the earliest time at which an instance that is not available now may be picked for a request; ok is
+// false if there is none that the request has not tried.
+func (b *Balancer) NextAvailable(now time.Time, r Request) (at time.Time, ok bool) {
+	for _, s := range b.order {
+		if b.hasRoom(now, s, r) || r.AvoidLimited && s.Limit > 0 || slices.Contains(r.Tried, s.ID) {
+			continue
+		}
+		next := now.Add(fullRetryInterval)
+		if s.Limit > 0 {
+			next = s.withheldUntil
+		}
+		if !ok || next.Before(at) {
+			at, ok = next, true
+		}
+	}
+	return at, ok
+}
+
 // Observe counts an outcome of a request that is still in flight, such as OutcomeOverdue, as evidence.
 func (b *Balancer) Observe(now time.Time, id string, o Outcome) {
 	if s := b.instances[id]; s != nil {
--- a/pkg/balancer/balancer_test.go
+++ b/pkg/balancer/balancer_test.go
@@ -233,3 +233,73 @@
 	}
 	require.Less(t, share(balancer.Request{}), 0.2, "waiting for a slot costs more than the lack of a recent answer")
 }
+
+// limited sets the limits of the first n of four instances.
+func limited(n int) *balancer.Balancer {
+	b := newBalancer(4)
+	is := instances(4)
+	for i := range n {
+		is[i].Limit = 5
+	}
+	b.SetInstances(start, is)
+	return b
+}
+
+func TestReleasedInstanceIsNotPickedBeforeItsTime(t *testing.T) {
+	b := limited(1)
+	for {
+		c, ok := b.Pick(start, balancer.Request{})
+		require.True(t, ok)
+		if c.ID == "i0" {
+			b.Release(c, start.Add(time.Second))
+			break
+		}
+		b.Release(c, time.Time{})
+	}
+	require.NotContains(t, pick(b, start, 100, balancer.Request{}), "i0")
+	at, ok := b.NextAvailable(start, balancer.Request{})
+	require.True(t, ok)
+	require.Equal(t, start.Add(time.Second), at)
+	require.Contains(t, pick(b, at, 100, balancer.Request{}), "i0")
+}
+
+func TestHedgesAvoidInstancesWithALimit(t *testing.T) {
+	got := pick(limited(2), start, 200, balancer.Request{Idempotent: true, AvoidLimited: true})
+	require.NotContains(t, got, "i0")
+	require.NotContains(t, got, "i1")
+	_, ok := limited(4).Pick(start, balancer.Request{AvoidLimited: true})
+	require.False(t, ok)
+}
+
+func TestOtherInstancesAreNotDrivenOverTheirSlotsByLimits(t *testing.T) {
+	b := limited(2)
+	for {
+		c, ok := b.Pick(start, balancer.Request{})
+		if !ok {
+			break
+		}
+		if c.Limit > 0 {
+			b.Release(c, start.Add(time.Second))
+		}
+	}
+	b.EachInFlight(func(id string, n int) { require.LessOrEqual(t, n, 8, id) })
+	at, ok := b.NextAvailable(start, balancer.Request{})
+	require.True(t, ok)
+	require.True(t, at.After(start))
+}
+
+func TestFailingInstanceDoesNotAttractWhatLimitsKeepAway(t *testing.T) {
+	b := limited(2)
+	b.Observe(start, "i3", balancer.OutcomeBroken)
+	for range 100 {
+		c, ok := b.Pick(start, balancer.Request{})
+		if !ok {
+			return
+		}
+		require.NotEqual(t, "i3", c.ID)
+		if c.Limit > 0 {
+			b.Release(c, start.Add(time.Second))
+		}
+	}
+	t.Fatal("the other instances have no end of room")
+}
