Let backend servers of the soak state limits, and check them

A fault makes a random backend server state a limit of 0.5/s to 10.5/s for some seconds. From 3 s after that it may get 1.5 times the limit and 5 requests in any 4 s, outside the faults that suspend time bounds.

--- a/cmd/soak/checker.go
+++ b/cmd/soak/checker.go
@@ -26,13 +26,14 @@
 	guaranteeConfigurationKept    guarantee = "a configuration never reverts within a process"
 	guaranteePlannedStop          guarantee = "a planned stop interrupts no request"
 	guaranteeRecovery             guarantee = "all daemons are ready again after the faults"
+	guaranteeLimit                guarantee = "a backend server gets no more requests than the limit that it states allows"
 	guaranteeAllowed              guarantee = "a request that every configuration allows is not denied"
 )
 
 // timeBound are the guarantees with a time bound. Their violations mean little on an overloaded machine.
 var timeBound = []guarantee{
 	guaranteeKeyWithdrawn, guaranteeRate, guaranteeDrain, guaranteeConfigurationApplied, guaranteePlannedStop,
-	guaranteeRecovery,
+	guaranteeRecovery, guaranteeLimit,
 }
 
 // The bounds of the checks. revocationBound is the RevocationS, and rateWindow the QuotaWindowS, of the daemons'
@@ -45,6 +46,12 @@
 	rateMargin      = 0.1
 	rateSlack       = 20
 	recoveryTimeout = 15 * time.Second
+	// From limitSettleTime after a backend server stated a limit, it may get limit * limitWindow * limitMargin + limitSlack
+	// requests in any limitWindow.
+	limitSettleTime = 3 * time.Second
+	limitWindow     = 4 * time.Second
+	limitMargin     = 1.5
+	limitSlack      = 5
 )
 
 // request is the state of a caller's request.
@@ -70,6 +77,8 @@
 	withdrawnAt map[string]time.Time
 	// leavingSince is when a backend server announced draining, or its registration ended.
 	leavingSince map[string]time.Time
+	// limited holds the backend servers that state a limit.
+	limited map[string]*limitedServer
 	// lastDisturbance is the last time at which a fault that suspends time bounds was active.
 	lastDisturbance time.Time
 	// newestApplied is the newest configuration version that each process has been observed to apply.
@@ -81,7 +90,7 @@
 func newChecker(limits map[string]float64) *checker {
 	return &checker{
 		requests: map[string]*request{}, limits: limits, runTimes: map[string][]time.Time{},
-		withdrawnAt: map[string]time.Time{}, leavingSince: map[string]time.Time{}, newestApplied: map[string]int{}, violations: map[guarantee][]string{},
+		withdrawnAt: map[string]time.Time{}, leavingSince: map[string]time.Time{}, limited: map[string]*limitedServer{}, newestApplied: map[string]int{}, violations: map[guarantee][]string{},
 	}
 }
 
@@ -130,6 +139,41 @@
 	}
 }
 
+// limitedServer is a backend server that states a limit, in requests per second.
+type limitedServer struct {
+	limit    float64
+	since    time.Time
+	arrivals []time.Time
+}
+
+// recordLimit records that a backend server states a limit from now on, or with a zero limit that it states none.
+func (c *checker) recordLimit(server string, limit float64, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.limited, server)
+	if limit > 0 {
+		c.limited[server] = &limitedServer{limit: limit, since: at}
+	}
+}
+
+// recordArrival records that a request arrived at a backend server, which may refuse it. Only windows without a fault that
+// suspends time bounds count.
+func (c *checker) recordArrival(server string, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l := c.limited[server]
+	if l == nil || at.Sub(l.since) < limitSettleTime || at.Sub(c.lastDisturbance) < settleTime {
+		return
+	}
+	l.arrivals = append(l.arrivals, at)
+	for at.Sub(l.arrivals[0]) >= limitWindow {
+		l.arrivals = l.arrivals[1:]
+	}
+	if n, most := len(l.arrivals), l.limit*limitWindow.Seconds()*limitMargin+limitSlack; float64(n) > most {
+		c.addViolation(guaranteeLimit, "%s, with a limit of %.1f/s, got %d requests in %v; at most %.0f are allowed", server, l.limit, n, limitWindow, most)
+	}
+}
+
 // recordAnswer records the answer that a caller got. process names the daemon process that sent it; server is the body
 // of the answer, which names the backend server that made it.
 func (c *checker) recordAnswer(id string, status int, signature, server, process string) {
--- a/cmd/soak/checker_test.go
+++ b/cmd/soak/checker_test.go
@@ -63,6 +63,17 @@
 			c.recordDisturbance(at(0))
 			c.recordRun("safe", "a", "", "i", at(settleTime))
 		}},
+		{guaranteeLimit, func(c *checker) {
+			c.recordLimit("i", 2, start)
+			c.recordArrivals(18, at(limitSettleTime))
+		}, func(c *checker) {
+			c.recordLimit("i", 2, start)
+			c.recordArrivals(100, at(limitSettleTime-time.Millisecond))
+			c.recordArrivals(17, at(limitSettleTime))
+			c.recordArrivals(17, at(limitSettleTime+limitWindow))
+			c.recordDisturbance(at(limitSettleTime + limitWindow))
+			c.recordArrivals(100, at(limitWindow+limitSettleTime+settleTime-time.Millisecond))
+		}},
 		{guaranteeConfigurationApplied, func(c *checker) { c.recordUse("p", 2, 404, applyBound+time.Millisecond, false) }, func(c *checker) {
 			c.recordUse("p", 2, 404, applyBound, false)
 			c.recordUse("p", 2, 404, time.Minute, true)
@@ -106,3 +117,10 @@
 		c.recordRun(id, account, "", "i", at)
 	}
 }
+
+// recordArrivals records n requests that arrive at a backend server at the same time.
+func (c *checker) recordArrivals(n int, at time.Time) {
+	for range n {
+		c.recordArrival("i", at)
+	}
+}
--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -141,6 +141,16 @@
 			f.setState(s, "ready")
 		}, s.ID + " " + state
 	}},
+	{"server states a limit", false, func(f *fleet, r *rand.Rand) (func(), string) {
+		s, limit := f.randomServer(r), 0.5+10*r.Float64()
+		s.SetLimit(limit)
+		f.checker.recordLimit(s.ID, limit, time.Now())
+		return func() {
+			time.Sleep(limitSettleTime + limitWindow)
+			f.checker.recordLimit(s.ID, 0, time.Now())
+			s.SetLimit(0)
+		}, fmt.Sprintf("%s %.1f/s", s.ID, limit)
+	}},
 	{"new configurations", false, func(f *fleet, r *rand.Rand) (func(), string) {
 		n := 1 + r.IntN(5)
 		for range n {
--- a/cmd/soak/fleet.go
+++ b/cmd/soak/fleet.go
@@ -213,6 +213,7 @@
 	x, work := r.Float64(), s.extraDelay+time.Duration(r.Int64N(int64(maxWorkTime)))
 	fail, shed, hang, cutting := s.failShare, s.shedShare, s.hangShare, s.cutShare
 	s.mu.Unlock()
+	f.checker.recordArrival(s.ID, time.Now())
 	if x < shed {
 		emulator.Shed(c, req, in)
 		return
