--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -128,6 +128,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.table != nil && c.Version <= t.table.Version {
+		if c.Version < t.table.Version {
+			t.logger.Info("configuration not applied", zap.Int64("version", c.Version), zap.Int64("known", t.table.Version))
+		}
 		return
 	}
 	previous := int64(0)
