Refuse requests at once while others waited in vain for a limit

While an instance's limits are far below the demand, each request waited for a fifth or two fifths of its objective before it was refused. After one waited in vain, requests for that service do not wait for 1 s.

TestRequestsDoNotAllWaitInVainForALimit fails before: the second request waits.

--- a/internal/receiver/choose.go
+++ b/internal/receiver/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/jacinthproxy/jacinthproxy/pkg/balancer"
@@ -19,7 +20,8 @@
 	}
 	// A hedge must not take the place of another request at an instance with a limit.
 	want := balancer.Request{Idempotent: r.route.Idempotent, Tried: r.tried, AvoidLimited: len(r.inFlight) > 0}
-	until := r.Clock.Now().Add(r.maxLimitWait())
+	began := r.Clock.Now()
+	until := began.Add(r.maxLimitWait())
 	refused := 0
 	for {
 		c, ok = r.Picker.Pick(r.service, want)
@@ -28,6 +30,9 @@
 		}
 		if !ok || refused == maxLimitAsks {
 			if res, ok = r.awaitToken(ctx, want, until, refused > 0); !ok {
+				if res.reason == ReasonLimited && r.Clock.Since(began) > limitPause {
+					r.vainWaits.note(r.service, r.Clock.Now())
+				}
 				return c, res, false
 			}
 			refused = 0
@@ -90,8 +95,12 @@
 	return r.checkBeliefs(ctx)
 }
 
-// maxLimitWait returns how long the request may wait for an instance whose limit is not reached.
+// maxLimitWait returns how long the request may wait for an instance whose limit is not reached. It is zero after another
+// request waited in vain.
 func (r *retrier) maxLimitWait() time.Duration {
+	if r.vainWaits.recent(r.service, r.Clock.Now()) {
+		return 0
+	}
 	f := limitWaitNonIdempotent
 	if r.route.Idempotent {
 		f = limitWaitIdempotent
@@ -99,3 +108,23 @@
 	left := r.deadline.Sub(r.Clock.Now())
 	return min(time.Duration(f*float64(r.route.Objective)), left/2)
 }
+
+// vainWaits holds when a request for a service last waited for an instance in vain. It is safe for concurrent use.
+type vainWaits struct {
+	mu sync.Mutex
+	at map[string]time.Time
+}
+
+func (v *vainWaits) note(service string, now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.at[service] = now
+}
+
+// recent reports whether a request waited in vain within vainWaitTTL.
+func (v *vainWaits) recent(service string, now time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	at, ok := v.at[service]
+	return ok && now.Sub(at) < vainWaitTTL
+}
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -50,6 +50,8 @@
 	// maxLimitAsks bounds how many owners of limits are asked in a row for one request, before limitPause.
 	maxLimitAsks = 5
 	limitPause   = 20 * time.Millisecond
+	// vainWaitTTL is how long requests for a service do not wait after one waited in vain: most of them would, too.
+	vainWaitTTL = time.Second
 	// maxDenyAge is the age of the configuration up to which requests are denied. A newer configuration may already
 	// have the unknown route or key.
 	maxDenyAge = 2500 * time.Millisecond
@@ -161,10 +163,13 @@
 // Receiver serves callers.
 type Receiver struct {
 	Options
+	vainWaits vainWaits
 }
 
 // New returns a Receiver.
-func New(o Options) *Receiver { return &Receiver{Options: o} }
+func New(o Options) *Receiver {
+	return &Receiver{Options: o, vainWaits: vainWaits{at: map[string]time.Time{}}}
+}
 
 // jitteredRetryAfter returns max(atLeast, minRetryAfter) plus up to retryAfterJitter at random.
 func jitteredRetryAfter(atLeast time.Duration) time.Duration {
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -469,3 +469,29 @@
 	require.Equal(t, []string{"i-1 0s"}, f.released)
 	require.Len(t, f.sends, 1)
 }
+
+func TestRequestsDoNotAllWaitInVainForALimit(t *testing.T) {
+	f := newFixture()
+	f.admitAfter(1000, 100*time.Millisecond)
+	f.nextAvailable = 100 * time.Millisecond
+	serve := func() chan int {
+		done := make(chan int)
+		go func() { done <- f.serve("/once/x", "secret").Code }()
+		return done
+	}
+	first := serve()
+	for range 4 {
+		require.NoError(t, f.clock.BlockUntilContext(t.Context(), 1))
+		f.clock.Advance(100 * time.Millisecond)
+	}
+	require.Equal(t, http.StatusServiceUnavailable, <-first)
+	require.Equal(t, http.StatusServiceUnavailable, <-serve(), "without a wait")
+	f.clock.Advance(2 * time.Second)
+	third := serve()
+	require.NoError(t, f.clock.BlockUntilContext(t.Context(), 1))
+	for range 4 {
+		require.NoError(t, f.clock.BlockUntilContext(t.Context(), 1))
+		f.clock.Advance(100 * time.Millisecond)
+	}
+	<-third
+}
