Mark no VM down while all state is stale

Cause: while the store is away, each VM passes over all leaders, as their state is stale, leads for itself, and after 1.5 s marks the others of its domain down, since they are silent. The marks travel to other domains, and owners give accounts only the part of the fleet that they hear of.

Now a VM marks others down only if it would lead, too, if stale state were no reason to pass others over.

--- a/internal/relayer/leader_test.go
+++ b/internal/relayer/leader_test.go
@@ -106,3 +106,20 @@
 	require.Equal(t, map[string]int{"a": 2}, decodeLoads(encodeLoads(map[string]int{"a": 2, "idle": 0})))
 	require.Empty(t, decodeLoads([]*wire.Load{}))
 }
+
+// While the store is away, all state is stale, and VMs that lead for themselves hear nothing of the others.
+func TestStaleLeadersDoNotGetVMsMarkedDown(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	for _, r := range unequalFleet(clock) {
+		if r.IsLeader() {
+			continue
+		}
+		for range 100 {
+			if l, _ := r.leader(r.Self.Domain); l.Address != r.Self.Address {
+				r.passOver(l.Address)
+			}
+		}
+		require.True(t, r.IsLeader())
+		require.False(t, r.leadsByContact())
+	}
+}
--- a/internal/relayer/loops.go
+++ b/internal/relayer/loops.go
@@ -83,7 +83,7 @@
 				delete(cancels, d)
 			}
 		}
-		if leads {
+		if leads && r.leadsByContact() {
 			r.markDown(now)
 		}
 		r.Tracker.Expire()
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -227,11 +227,23 @@
 	return cs
 }
 
-// leader returns the leader of a domain, which reads the store for it; ok is false if no candidate is known. Only VMs
-// with much capacity are considered, since all others of the domain exchange with the leader.
+// leader returns the leader of a domain, which reads the store for it; ok is false if no candidate is known.
 func (r *Relayer) leader(domain string) (placer.VM, bool) {
+	return r.firstLeader(domain, r.acceptsAsLeader)
+}
+
+// leadsByContact reports whether this VM leads its domain not just because the state of others is stale. While the store is
+// away, the state of all VMs is, and each leads for itself; the others are silent then, but not down.
+func (r *Relayer) leadsByContact() bool {
+	l, ok := r.firstLeader(r.Self.Domain, func(a netip.AddrPort) bool { return !r.Suspected(a) })
+	return !ok || l.Address == r.Self.Address
+}
+
+// firstLeader returns the first VM of a domain in rendezvous order that is this VM or accepted as a leader. Only VMs with
+// much capacity are considered, since all others of the domain exchange with the leader.
+func (r *Relayer) firstLeader(domain string, accepts func(netip.AddrPort) bool) (placer.VM, bool) {
 	cs := r.candidates(func(m tracker.Member) bool {
-		return m.Domain == domain && (m.Address == r.Self.Address || r.acceptsAsLeader(m.Address))
+		return m.Domain == domain && (m.Address == r.Self.Address || accepts(m.Address))
 	})
 	maxWeight := 0.0
 	for _, c := range cs {
