Tell the histories of a restored store apart

Cause: positions and orders by offset were used across histories. A reader read on from an offset of the old history; ends of registrations and views were compared by offsets of both.

Now every position has the epoch of the store's history. Offsets of the registry carry the epoch in their upper bits, so that views and ends are ordered by it first; what the copy shows again is older than an end before, which the instance's own sequence numbers tell. Registrations that the copy lacks have 2 s to come back. The newest version in the store confirms the known configuration only if it is not older, and not in the first 0.3 s, in which the operator writes again what was lost. A VM announces itself again after a restore, and one that starts asks its peers before it serves.

--- a/cmd/standin/emulator/store.go
+++ b/cmd/standin/emulator/store.go
@@ -13,11 +13,13 @@
 	"time"
 )
 
-// record is one record of a topic: its key, its value and the encoding of both as one message of the protocol.
+// record is one record of a topic: its key, its value, the encoding of both as one message of the protocol, and when it was
+// written.
 type record struct {
-	key     string
-	value   []byte
-	encoded []byte
+	key       string
+	value     []byte
+	encoded   []byte
+	writtenAt time.Time
 }
 
 // topic is a single-partition log of records; offsets below first can no longer be read. The map newest
@@ -36,6 +38,8 @@
 	mu      sync.Mutex
 	topics  map[string]*topic
 	changed chan struct{}
+	// epoch counts the histories of the store, from 1.
+	epoch int
 	// intercept, if set, may handle calls in place of the store and reports whether it did.
 	intercept func(w http.ResponseWriter, r *http.Request) bool
 	calls     map[string]int
@@ -43,7 +47,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{PageSize: 500, topics: map[string]*topic{}, changed: make(chan struct{}), calls: map[string]int{}}
+	return &Store{PageSize: 500, epoch: 1, topics: map[string]*topic{}, changed: make(chan struct{}), calls: map[string]int{}}
 }
 
 // SetInterceptor sets a function that may handle calls in place of the store and reports whether it did; nil
@@ -82,6 +86,35 @@
 	t.first = len(t.records)
 }
 
+// Restore brings the store back from a copy that was made the given time ago: what was written since is lost, and its offsets
+// are given out again.
+func (s *Store) Restore(age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	copiedAt := time.Now().Add(-age)
+	for _, t := range s.topics {
+		t.records = slices.DeleteFunc(t.records, func(r record) bool { return r.writtenAt.After(copiedAt) })
+		t.first = min(t.first, len(t.records))
+		t.newest = map[string]int{}
+		for i, r := range t.records {
+			t.setNewest(i, r)
+		}
+	}
+	s.epoch++
+	s.notify()
+}
+
+// setNewest makes a record the newest one of its key.
+func (t *topic) setNewest(offset int, r record) {
+	t.newest[r.key] = offset
+	if len(r.value) == 0 {
+		delete(t.newest, r.key)
+	}
+}
+
+// setEpoch sets the header that names the epoch in a response. s.mu must be held.
+func (s *Store) setEpoch(w http.ResponseWriter) { w.Header().Set("Store-Era", strconv.Itoa(s.epoch)) }
+
 // Put appends a record with the value of a key to the topic with this name; an empty value deletes the key.
 func (s *Store) Put(name, key string, value []byte) {
 	s.mu.Lock()
@@ -116,11 +149,9 @@
 func (s *Store) append(name, key string, value []byte) {
 	t := s.topic(name)
 	raw := append([]byte{byte(len(key))}, key...)
-	t.records = append(t.records, record{key, value, append(raw, value...)})
-	t.newest[key] = len(t.records) - 1
-	if len(value) == 0 {
-		delete(t.newest, key)
-	}
+	r := record{key, value, append(raw, value...), time.Now()}
+	t.records = append(t.records, r)
+	t.setNewest(len(t.records)-1, r)
 	s.notify()
 }
 
@@ -134,6 +165,7 @@
 	name := r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:]
 	s.mu.Lock()
 	s.calls[name]++
+	s.setEpoch(w)
 	intercept := s.intercept
 	s.mu.Unlock()
 	if intercept != nil && intercept(w, r) {
@@ -158,6 +190,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setEpoch(w)
 	name := r.URL.Query().Get("Topic")
 	offset := len(s.topic(name).records)
 	for len(b) >= 4 {
@@ -181,7 +214,8 @@
 	for {
 		s.mu.Lock()
 		t, changed, intercept := s.topic(q.Get("Topic")), s.changed, s.intercept
-		if from < t.first {
+		s.setEpoch(w)
+		if from < t.first || from > len(t.records) {
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			writeJSON(w, map[string]int{"First": t.first})
@@ -219,6 +253,7 @@
 	q := r.URL.Query()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setEpoch(w)
 	t := s.topic(q.Get("Topic"))
 	var keys []string
 	for k := range t.newest {
--- a/internal/relayer/constants.go
+++ b/internal/relayer/constants.go
@@ -63,6 +63,13 @@
 	// formationTime is how long after its start a VM of a new fleet reads the list of VMs again: all VMs start within
 	// 0.3 s and then announce themselves.
 	formationTime = 600 * time.Millisecond
+	// announceCheckInterval is the time between checks of whether this VM must announce itself again, and announceSpread
+	// the part of each VM in the time over which all VMs do, which bounds the writes to the store.
+	announceCheckInterval = time.Second
+	announceSpread        = 10 * time.Millisecond
+	// restoreSettleTime is how long after a restore of the store the configuration that it has is not taken for the newest
+	// one: the operator writes again what was lost.
+	restoreSettleTime = 300 * time.Millisecond
 	// tickInterval is how often a VM checks which roles it has.
 	tickInterval = 100 * time.Millisecond
 	// takeTimeout bounds a call to an account's owner. Two crossings of failure domains take 4 ms, but an owner that
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -129,7 +129,11 @@
 	r.Tracker.MergeInstances(from.Address, instances)
 	r.Tracker.MergeLimits(from.Address.String(), fromLimits(now, sent, b.GetLimits()))
 	if b.GetConfigurationKnown() {
-		r.Tracker.MarkTableFresh(sent.Add(-time.Duration(b.GetConfigurationAgeMs()) * time.Millisecond))
+		version := b.GetConfigurationVersion()
+		if t, _ := r.Tracker.Table(); version == 0 && t != nil {
+			version = t.Version // A daemon without the field does not tell.
+		}
+		r.Tracker.MarkTableFresh(version, sent.Add(-time.Duration(b.GetConfigurationAgeMs())*time.Millisecond))
 	}
 	for _, m := range b.GetMembers() {
 		vm, err := messenger.FromVM(m.GetVm())
@@ -338,7 +342,7 @@
 		Incarnation: r.Self.Incarnation, Sequence: c.Sequence,
 		ConfigurationKnown: !c.TableReadAt.IsZero(), InstancesKnown: !c.EntriesReadAt.IsZero(),
 		ConfigurationAgeMs: ageMs(now, c.TableReadAt), InstancesAgeMs: ageMs(now, c.EntriesReadAt),
-		InstancesComplete: c.Complete, InstancesEnd: c.End,
+		InstancesComplete: c.Complete, InstancesEnd: c.End, ConfigurationVersion: c.TableVersion,
 	}
 	if c.Table != nil {
 		b, err := json.Marshal(c.Table.Configuration)
--- a/internal/relayer/loops.go
+++ b/internal/relayer/loops.go
@@ -4,28 +4,43 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/jacinthproxy/jacinthproxy/internal/logger"
+	"github.com/jacinthproxy/jacinthproxy/internal/router"
 	"github.com/jacinthproxy/jacinthproxy/internal/tracker"
 	"github.com/jacinthproxy/jacinthproxy/pkg/placer"
 )
 
-// announce publishes this VM in the store, once.
+// announce publishes this VM in the store, and again when the store was restored from a copy that may lack it.
 func (r *Relayer) announce(ctx context.Context) {
+	for ctx.Err() == nil {
+		epoch, ok := r.announceOnce(ctx)
+		for ok && ctx.Err() == nil && r.Tracker.Epoch() <= epoch {
+			r.sleep(ctx, announceCheckInterval)
+		}
+		// All VMs see the restore at the same time.
+		r.sleep(ctx, rand.N(time.Duration(1+len(r.Tracker.Members()))*announceSpread))
+	}
+}
+
+// announceOnce publishes this VM in the store, with retries until the context ends.
+func (r *Relayer) announceOnce(ctx context.Context) (epoch uint64, ok bool) {
 	for backoff := initialBackoff; ctx.Err() == nil; backoff = min(2*backoff, maxBackoff) {
 		c, cancel := context.WithTimeout(ctx, storeTimeout)
-		err := r.Source.Announce(c, tracker.Member{VM: r.Self, Role: tracker.RoleStarting, Capacity: r.Capacity, AsOf: r.Clock.Now()})
+		epoch, err := r.Source.Announce(c, tracker.Member{VM: r.Self, Role: tracker.RoleStarting, Capacity: r.Capacity, AsOf: r.Clock.Now()})
 		cancel()
 		if err == nil {
-			return
+			return epoch, true
 		}
 		r.Logger.Warn("cannot announce this VM in the store; will retry", logger.Err(err), zap.Duration("pause", backoff))
 		r.sleep(ctx, jittered(backoff))
 	}
+	return 0, false
 }
 
 // jittered returns a random delay between half of d and d.
@@ -251,6 +266,7 @@
 
 func (r *Relayer) readConfiguration(ctx context.Context) {
 	var after Position
+	var found configurationReads
 	r.poll(ctx, poller{
 		name: "configuration", wait: configurationPollWait, responsible: r.IsLeader, stale: configurationStaleness,
 		age: func() (time.Duration, bool) {
@@ -259,7 +275,7 @@
 		},
 		read: func(ctx context.Context, wait time.Duration) error {
 			began := r.Clock.Now()
-			got, err := r.Source.Configurations(ctx, after, wait)
+			got, err := r.Source.Configurations(ctx, after, found.wait(began, wait))
 			if err != nil {
 				return err
 			}
@@ -267,14 +283,55 @@
 				r.Tracker.ApplyConfiguration(c)
 			}
 			after = got.Next
-			if t, _ := r.Tracker.Table(); t != nil {
-				r.Tracker.MarkTableFresh(began)
+			found.add(began, got)
+			if found.current(began) {
+				r.Tracker.MarkTableFresh(found.newest, began)
+				found.confirmed = true
 			}
 			return nil
 		},
 	})
 }
 
+// configurationReads is what this VM's reads found of the configuration in one epoch of the store.
+type configurationReads struct {
+	epoch uint64
+	// newest is the newest version that was read.
+	newest int64
+	// restoredAt is the start of the first read after the store was restored; zero if it was not.
+	restoredAt time.Time
+	// confirmed is set once a read in the epoch confirmed the newest version.
+	confirmed bool
+}
+
+// wait returns how long a read that begins now may wait for a change, wait at most. After a restore it is shorter, so that a
+// later read confirms the configuration soon.
+func (f *configurationReads) wait(now time.Time, wait time.Duration) time.Duration {
+	if f.confirmed || f.restoredAt.IsZero() {
+		return wait
+	}
+	return min(wait, max(0, f.restoredAt.Add(restoreSettleTime).Sub(now)))
+}
+
+// add records a read that began at the given time.
+func (f *configurationReads) add(began time.Time, got Read[router.Configuration]) {
+	if f.epoch != got.Next.Epoch {
+		if f.newest > 0 {
+			f.restoredAt = began
+		}
+		f.epoch, f.newest, f.confirmed = got.Next.Epoch, 0, false
+	}
+	for _, c := range got.Items {
+		f.newest = max(f.newest, c.Version)
+	}
+}
+
+// current reports whether the newest version of a read that began at the given time is the newest one that was published.
+// Just after a restore it may not be: the operator still writes again what was lost.
+func (f *configurationReads) current(began time.Time) bool {
+	return f.newest > 0 && (f.restoredAt.IsZero() || began.Sub(f.restoredAt) >= restoreSettleTime)
+}
+
 func (r *Relayer) readRegistrations(ctx context.Context) {
 	var after Position
 	r.poll(ctx, poller{
@@ -290,7 +347,7 @@
 				r.Tracker.MarkUnread(began)
 				return err
 			}
-			r.Tracker.ApplyRegistrations(began, got.Items, got.Snapshot, got.Next.Offset)
+			r.Tracker.ApplyRegistrations(began, got.Items, got.Snapshot, tracker.Offset(got.Next.Epoch, got.Next.Offset))
 			after = got.Next
 			return nil
 		},
@@ -313,6 +370,8 @@
 				if got, err = r.readMembers(ctx, got.Next); err != nil {
 					return err
 				}
+			} else if readAt.IsZero() {
+				r.catchUp(ctx)
 			}
 			after, readAt = got.Next, r.Clock.Now()
 			r.Tracker.MarkMembersKnown()
@@ -321,6 +380,31 @@
 	})
 }
 
+// catchUp gets what the leaders of all failure domains know, before this VM serves: the store may have been restored from a
+// copy just now, and lack what its peers know.
+func (r *Relayer) catchUp(ctx context.Context) {
+	domains := map[string]bool{}
+	var g sync.WaitGroup
+	for _, m := range r.Tracker.Members() {
+		if domains[m.Domain] {
+			continue
+		}
+		domains[m.Domain] = true
+		l, ok := placer.First("leader/"+m.Domain, r.candidates(func(o tracker.Member) bool {
+			return o.Domain == m.Domain && o.Address != r.Self.Address
+		}))
+		if !ok {
+			continue
+		}
+		g.Go(func() {
+			if err := r.exchange(ctx, l, 0, l.Domain != r.Self.Domain); err != nil {
+				r.Logger.Info("peer not asked at the start", zap.Stringer("peer", l.Address), logger.Err(err))
+			}
+		})
+	}
+	g.Wait()
+}
+
 // readMembers reads the VMs that were announced in the store after a position.
 func (r *Relayer) readMembers(ctx context.Context, after Position) (Read[tracker.Member], error) {
 	got, err := r.Source.Peers(ctx, after)
--- a/internal/relayer/members_test.go
+++ b/internal/relayer/members_test.go
@@ -2,12 +2,18 @@
 
 import (
 	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
+	"github.com/jacinthproxy/jacinthproxy/internal/messenger/wire"
+	"github.com/jacinthproxy/jacinthproxy/internal/router"
 	"github.com/jacinthproxy/jacinthproxy/internal/tracker"
 	"github.com/jacinthproxy/jacinthproxy/pkg/placer"
 )
@@ -17,6 +23,27 @@
 	Source
 	lists []Read[tracker.Member]
 	reads int
+	// epoch is the epoch in which announcements are accepted; each is sent to announced.
+	epoch     atomic.Uint64
+	announced chan placer.VM
+}
+
+func (s *memberSource) Announce(_ context.Context, m tracker.Member) (uint64, error) {
+	s.announced <- m.VM
+	return s.epoch.Load(), nil
+}
+
+// askedPeers is a messenger whose peers do not answer.
+type askedPeers struct {
+	mu sync.Mutex
+	to []netip.AddrPort
+}
+
+func (p *askedPeers) Call(_ context.Context, to netip.AddrPort, _ *wire.Request) (*wire.Reply, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.to = append(p.to, to)
+	return nil, errors.New("no answer")
 }
 
 func (s *memberSource) Peers(context.Context, Position) (Read[tracker.Member], error) {
@@ -51,6 +78,8 @@
 			r := newTestRelayer(clock, true)
 			last := list(3, member(1, now), member(2, now), member(3, now))
 			r.Source = &memberSource{lists: []Read[tracker.Member]{c.first, last}}
+			peers := &askedPeers{}
+			r.Messenger = peers
 			ctx, cancel := context.WithCancel(t.Context())
 			ended := make(chan struct{})
 			go func() {
@@ -59,6 +88,9 @@
 			}()
 			require.NoError(t, clock.BlockUntilContext(ctx, 1))
 			require.Equal(t, c.formed, r.Tracker.MembersKnown())
+			if c.formed {
+				require.Len(t, peers.to, 1, "the leader of the other failure domain is asked first")
+			}
 			clock.Advance(formationTime)
 			require.Eventually(t, r.Tracker.MembersKnown, time.Minute, time.Millisecond)
 			if !c.formed {
@@ -70,3 +102,59 @@
 		})
 	}
 }
+
+func TestVMAnnouncesItselfAgainAfterARestore(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	r := newTestRelayer(clock, true)
+	s := &memberSource{announced: make(chan placer.VM, 10)}
+	s.epoch.Store(1)
+	r.Source = s
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		r.announce(ctx)
+		close(ended)
+	}()
+	require.Equal(t, r.Self, <-s.announced)
+	check := func() {
+		require.NoError(t, clock.BlockUntilContext(ctx, 1))
+		clock.Advance(announceCheckInterval)
+	}
+	r.Tracker.ApplyRegistrations(clock.Now(), nil, true, tracker.Offset(1, 9))
+	for range 3 {
+		check()
+	}
+	require.Empty(t, s.announced)
+	s.epoch.Store(2)
+	r.Tracker.ApplyRegistrations(clock.Now(), nil, true, tracker.Offset(2, 3))
+	for len(s.announced) == 0 {
+		check()
+	}
+	require.Equal(t, r.Self, <-s.announced)
+	cancel()
+	clock.Advance(time.Hour)
+	<-ended
+}
+
+func TestRestoredConfigurationIsNotTakenForTheNewestAtOnce(t *testing.T) {
+	read := func(epoch uint64, versions ...int64) Read[router.Configuration] {
+		got := Read[router.Configuration]{Next: Position{Epoch: epoch, Known: true}}
+		for _, v := range versions {
+			got.Items = append(got.Items, router.Configuration{Version: v})
+		}
+		return got
+	}
+	now := time.Unix(1e9, 0)
+	var f configurationReads
+	require.False(t, f.current(now))
+	f.add(now, read(1, 5))
+	require.True(t, f.current(now))
+	require.EqualValues(t, 5, f.newest)
+	f.add(now, read(2, 4))
+	require.EqualValues(t, 4, f.newest)
+	require.False(t, f.current(now), "the operator has not written again what was lost")
+	f.add(now, read(2))
+	require.True(t, f.current(now.Add(restoreSettleTime)))
+	require.LessOrEqual(t, f.wait(now, time.Minute), restoreSettleTime)
+	require.Zero(t, f.wait(now.Add(restoreSettleTime), time.Minute), "the read that confirms it does not wait")
+}
--- a/internal/relayer/source.go
+++ b/internal/relayer/source.go
@@ -10,6 +10,9 @@
 
 // Position is a position in what the store publishes. The zero Position is before the first record.
 type Position struct {
+	// Epoch is the epoch of the store's history to which the offset belongs. A store that comes back from a copy begins
+	// the next one, and gives offsets out again.
+	Epoch  uint64
 	Offset uint64
 	Known  bool
 }
@@ -31,8 +34,8 @@
 	Registrations(ctx context.Context, after Position) (Read[tracker.Entry], error)
 	// Peers returns the VMs that were announced after a position.
 	Peers(ctx context.Context, after Position) (Read[tracker.Member], error)
-	// Announce publishes a VM for its peers.
-	Announce(ctx context.Context, m tracker.Member) error
+	// Announce publishes a VM for its peers, and returns the epoch in which the store accepted it.
+	Announce(ctx context.Context, m tracker.Member) (epoch uint64, err error)
 }
 
 // InstanceStats holds the outcomes and loads of the instances, and takes those that other VMs report.
--- a/internal/tracker/entry.go
+++ b/internal/tracker/entry.go
@@ -30,7 +30,7 @@
 	// and a sequence number since then.
 	Incarnation    int64 `json:"born"`
 	SequenceNumber int64 `json:"beat"`
-	// Offset is the position of the record in the registry.
+	// Offset is the position of the record in the registry, as the function Offset returns it.
 	Offset uint64 `json:"offset"`
 }
 
--- a/internal/tracker/instances.go
+++ b/internal/tracker/instances.go
@@ -19,6 +19,9 @@
 	// register again. The outage may have ended right then, and 3 s after its end all ended registrations must be out
 	// of use.
 	outageGracePeriod = 2500 * time.Millisecond
+	// restoreGracePeriod is how long after a restore of the store an instance whose registration was lost may take to
+	// register again.
+	restoreGracePeriod = 2 * time.Second
 	// maxLapsedUse is how long an ended registration is used at most. It is shorter than the time that a leaving
 	// instance still serves.
 	maxLapsedUse = 1800 * time.Millisecond
@@ -32,6 +35,7 @@
 	t.mu.Lock()
 	from := t.change(sourceStore)
 	t.noteOutage(began)
+	t.noteRestore(end)
 	// A later snapshot than what is known is the truth even about instances that are unknown here.
 	latest := snapshot && end >= t.end
 	changed := t.applyAll(from, es, latest, true)
@@ -110,8 +114,8 @@
 		return
 	}
 	t.logger.Info("registration not applied", append(from.fields(e.ID), zap.Stringer("condition", e.Condition),
-		zap.Int64("sequenceNumber", e.SequenceNumber), zap.Uint64("offset", e.Offset), zap.Stringer("known", known.Condition),
-		zap.Int64("knownSequenceNumber", known.SequenceNumber), zap.Uint64("knownOffset", known.Offset))...)
+		zap.Int64("sequenceNumber", e.SequenceNumber), zap.String("offset", formatOffset(e.Offset)), zap.Stringer("known", known.Condition),
+		zap.Int64("knownSequenceNumber", known.SequenceNumber), zap.String("knownOffset", formatOffset(known.Offset)))...)
 }
 
 // applyReport applies an instance's report on itself, and reports whether the usable instances changed. t.mu must be
@@ -143,7 +147,7 @@
 	}
 	t.logger.Info("instance", append(from.fields(e.ID), zap.String("service", e.Service), zap.Stringer("condition", e.Condition),
 		zap.Stringer("address", e.Address), zap.String("failureDomain", e.Domain), zap.Int64("sequenceNumber", e.SequenceNumber),
-		zap.Uint64("offset", e.Offset))...)
+		zap.String("offset", formatOffset(e.Offset)))...)
 	return true
 }
 
@@ -168,7 +172,7 @@
 	r.sequence = t.recordChange()
 	if previous == ConditionReady && now.Before(t.graceUntil) {
 		r.expiresAt = earlier(t.graceUntil, now.Add(maxLapsedUse))
-		t.logger.Info("registration lapsed", append(from.fields(r.ID), zap.Uint64("offset", e.Offset), zap.Duration("grace", r.expiresAt.Sub(now)))...)
+		t.logger.Info("registration lapsed", append(from.fields(r.ID), zap.String("offset", formatOffset(e.Offset)), zap.Duration("grace", r.expiresAt.Sub(now)))...)
 		return false
 	}
 	t.logGone(from, r)
@@ -182,9 +186,16 @@
 	return b
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func (t *Tracker) logGone(from change, r *record) {
 	t.logger.Info("instance", append(from.fields(r.ID), zap.String("service", r.Service), zap.Stringer("condition", r.condition()),
-		zap.Int64("sequenceNumber", r.SequenceNumber), zap.Uint64("offset", r.endedBefore-1))...)
+		zap.Int64("sequenceNumber", r.SequenceNumber), zap.String("offset", formatOffset(r.endedBefore-1)))...)
 }
 
 // expire takes the instances whose grace period is over out of use, and drops the records of registrations that ended
@@ -270,6 +281,7 @@
 	t.mu.Lock()
 	from := t.change(peer.String())
 	t.noteOutage(c.EntriesReadAt)
+	t.noteRestore(c.End)
 	later := c.End > t.end
 	changed := t.applyAll(from, c.Entries, later, false)
 	if c.Complete {
@@ -335,6 +347,16 @@
 	}
 }
 
+// noteRestore starts the grace period if a view up to the given offset is the first one after the store was restored:
+// instances whose registrations were lost register again. If this VM's view is too old to tell when that was, only the outage
+// that this VM saw counts. t.mu must be held.
+func (t *Tracker) noteRestore(end uint64) {
+	now := t.clock.Now()
+	if t.end > 0 && EpochOf(end) > EpochOf(t.end) && now.Sub(t.entriesReadAt) <= outageThreshold {
+		t.graceUntil = later(t.graceUntil, now.Add(restoreGracePeriod))
+	}
+}
+
 // countChange counts a change of the usable instances, if there was one. t.mu must be held.
 func (t *Tracker) countChange(changed bool) {
 	if changed {
--- a/internal/tracker/record.go
+++ b/internal/tracker/record.go
@@ -7,7 +7,9 @@
 //
 // Sequence numbers order the reports of one instance, offsets order the reports and the ends of registrations. Peers
 // may know a report by a lower sequence number than this VM, since a report that changes nothing else is not relayed.
-// So the end of a registration is compared with a report by offset.
+// So the end of a registration is compared with a report by offset. Between epochs of the store, offsets order only what the
+// store has since it was restored: a report from the copy is older than an end before, though its epoch is later. So there a
+// report is the later one only if the instance had not sent it yet when its registration ended.
 type record struct {
 	Entry
 	// endedBefore is the offset before which all registrations of the instance have ended; zero if none has.
@@ -38,6 +40,9 @@
 // end notes the end of a registration, as e says, and reports whether it ends the newest report.
 func (r *record) end(e Entry) bool {
 	r.endedBefore = max(r.endedBefore, e.Offset+1)
+	if EpochOf(e.Offset) < EpochOf(r.Offset) && !r.newer(e) {
+		r.Offset = e.Offset // The report was read from the copy.
+	}
 	if !r.newer(e) {
 		// The peer knew a later report when the registration ended.
 		r.Incarnation, r.SequenceNumber, r.Offset = e.Incarnation, e.SequenceNumber, min(r.Offset, e.Offset)
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -30,7 +30,7 @@
 	// tableReadAt and entriesReadAt are the start times of the latest reads that confirmed the configuration and the
 	// instances.
 	tableReadAt, entriesReadAt time.Time
-	// end is the offset up to which the records cover the registry; zero if unknown.
+	// end is the offset up to which the records cover the registry, as the function Offset returns it; zero if unknown.
 	end uint64
 	// replacedSequence is the sequence number of the last time that the records were replaced as a whole, or of the
 	// latest record that was dropped. A peer with changes up to a lower one gets all records, since it may know
@@ -143,15 +143,23 @@
 		zap.Int("routes", len(c.Routes)), zap.Int("accounts", len(c.Accounts)))
 }
 
-// MarkTableFresh records that a read which began at the given time found no newer configuration than the known one.
-func (t *Tracker) MarkTableFresh(readAt time.Time) {
+// MarkTableFresh records that a read which began at the given time found a version of the configuration, and none that is
+// newer. It does not confirm the known configuration if that is newer: the store may have lost it, and others after it.
+func (t *Tracker) MarkTableFresh(version int64, readAt time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if readAt.After(t.tableReadAt) {
+	if t.table != nil && version >= t.table.Version && readAt.After(t.tableReadAt) {
 		t.tableReadAt = readAt
 	}
 }
 
+// Epoch returns the epoch of the store up to which the records cover the registry.
+func (t *Tracker) Epoch() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return EpochOf(t.end)
+}
+
 // Ages returns the time since the start of the reads that confirmed the configuration and the instances.
 func (t *Tracker) Ages() (table, entries time.Duration) {
 	t.mu.Lock()
@@ -237,6 +245,8 @@
 	// TableReadAt and EntriesReadAt are the start times of the reads that confirmed the configuration and the
 	// instances; zero if there were none.
 	TableReadAt, EntriesReadAt time.Time
+	// TableVersion is the version of the configuration in force, zero if there is none.
+	TableVersion int64
 }
 
 // ChangesSince returns the changes after a sequence number, and a channel that is closed at the next change.
@@ -247,6 +257,9 @@
 		Sequence: t.sequence, TableReadAt: t.tableReadAt, EntriesReadAt: t.entriesReadAt, End: t.end,
 		Complete: t.end > 0 && sequence < t.replacedSequence,
 	}
+	if t.table != nil {
+		c.TableVersion = t.table.Version
+	}
 	if t.table != nil && t.tableSeq > sequence {
 		c.Table = t.table
 	}
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -201,10 +201,11 @@
 
 func TestAgesCountFromStartOfReads(t *testing.T) {
 	tr, c := newTracker()
+	tr.ApplyConfiguration(router.Configuration{Version: 1})
 	began := c.Now()
 	c.Advance(time.Second)
 	for _, readAt := range []time.Time{began, began.Add(-time.Second)} {
-		tr.MarkTableFresh(readAt)
+		tr.MarkTableFresh(1, readAt)
 		tr.ApplyRegistrations(readAt, nil, false, 1)
 	}
 	table, entries := tr.Ages()
@@ -247,7 +248,7 @@
 	<-done
 	wait()
 	tr.ApplyConfiguration(router.Configuration{Version: 1})
-	tr.MarkTableFresh(clock.Now())
+	tr.MarkTableFresh(1, clock.Now())
 	tr.ApplyRegistrations(clock.Now(), nil, false, 1)
 	tr.MarkMembersKnown()
 	<-done
