Let the soak restore the store from a copy

The store is away, comes back from a copy of up to 8 s ago, and up to 0.3 s later the operator writes its configuration again.

--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -25,6 +25,10 @@
 	settleTime = 3 * time.Second
 	// maxFaultDuration is the upper bound on the duration of a fault.
 	maxFaultDuration = 5 * time.Second
+	// maxCopyAge is the upper bound of the age of the copy from which the store is restored, and maxRepublishDelay that of the
+	// time until the operator writes the configuration again.
+	maxCopyAge        = 8 * time.Second
+	maxRepublishDelay = 300 * time.Millisecond
 	// maxConcurrentFaults is the maximum number of faults that are active at the same time.
 	maxConcurrentFaults = 3
 )
@@ -82,6 +86,16 @@
 		f.store.DiscardRecords(topicRegistry)
 		return noop, "store"
 	}},
+	{"store restored from a copy", true, func(f *fleet, r *rand.Rand) (func(), string) {
+		age, late := time.Duration(r.Int64N(int64(maxCopyAge))), time.Duration(r.Int64N(int64(maxRepublishDelay)))
+		f.store.SetInterceptor(emulator.Unavailable)
+		return func() {
+			f.store.Restore(age)
+			f.store.SetInterceptor(nil)
+			time.Sleep(late)
+			f.republishConfiguration()
+		}, fmt.Sprintf("copy %v old", age.Round(time.Millisecond))
+	}},
 	{"daemon's link to the store impaired", true, func(f *fleet, r *rand.Rand) (func(), string) {
 		p := f.randomDaemon(r).storeProxy
 		ts := []impairment{{dropUp: true}, {dropDown: true}, {dropUp: true, dropDown: true}, {refuse: true}, {delay: 300 * time.Millisecond}}
--- a/cmd/soak/fleet.go
+++ b/cmd/soak/fleet.go
@@ -263,6 +263,19 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.version++
+	f.putConfiguration()
+	f.acceptedAt = time.Now()
+}
+
+// republishConfiguration writes the newest version of the configuration again, after the store may have lost it.
+func (f *fleet) republishConfiguration() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.putConfiguration()
+}
+
+// putConfiguration writes the newest version of the configuration to the store. f.mu must be held.
+func (f *fleet) putConfiguration() {
 	route := func(name, kind string, open bool) map[string]any {
 		return map[string]any{"ResourceKind": "Routes", "Metadata": map[string]string{"Name": name}, "Specification": map[string]any{
 			"Host": host, "PathPrefix": "/" + name + "/", "Kind": kind, "TimeoutS": 2, "TargetLatencyS": 0.5, "Attempts": 2,
@@ -288,7 +301,6 @@
 		panic(err) // Values of these types can always be encoded.
 	}
 	f.store.Put(topicConfiguration, "config", b)
-	f.acceptedAt = time.Now()
 }
 
 // newestVersion returns the newest configuration version and when the store accepted it.
