Use an instance that writes its last report again after a restore

The operator and the instances write again what a restored store has lost. A report that an instance writes again has the sequence number of the one that was lost, so a VM that had ended the registration for its absence from the copy did not take it, and used the instance only from its next heartbeat on, up to 1.5 s later.

A report with the known sequence number counts if it lies behind an end in the same epoch and the known report is of an earlier epoch. What the copy shows of an instance that had left does not: its end is of the earlier epoch.

TestReportWrittenAgainAfterARestoreIsUsed fails before; TestCopyDoesNotReviveInstanceThatLeft now gives the copy the same number.

--- a/internal/tracker/instances.go
+++ b/internal/tracker/instances.go
@@ -126,7 +126,7 @@
 	if !known {
 		r = &record{}
 		t.records[e.ID] = r
-	} else if !e.newer(r.Entry) {
+	} else if !e.newer(r.Entry) && !r.writtenAgain(e) {
 		t.logNotApplied(from, r, e)
 		return false
 	}
--- a/internal/tracker/record.go
+++ b/internal/tracker/record.go
@@ -49,3 +49,9 @@
 	}
 	return r.Offset < r.endedBefore
 }
+
+// writtenAgain reports whether an instance whose registration a restored store had lost wrote its last report again.
+func (r *record) writtenAgain(e Entry) bool {
+	return r.condition() == ConditionGone && e.Incarnation == r.Incarnation && e.SequenceNumber == r.SequenceNumber &&
+		e.Offset >= r.endedBefore && EpochOf(r.Offset) < EpochOf(e.Offset) && EpochOf(e.Offset) == EpochOf(r.endedBefore-1)
+}
--- a/internal/tracker/restore_test.go
+++ b/internal/tracker/restore_test.go
@@ -50,6 +50,15 @@
 	require.Len(t, tr.UsableInstances(), 1)
 }
 
+func TestReportWrittenAgainAfterARestoreIsUsed(t *testing.T) {
+	tr, c := restored()
+	c.Advance(2 * time.Second)
+	tr.Expire()
+	require.Empty(t, tr.UsableInstances())
+	tr.ApplyRegistrations(c.Now(), []tracker.Entry{reportAt(2, 85, 9, tracker.ConditionReady)}, false, tracker.Offset(2, 86))
+	require.Len(t, tr.UsableInstances(), 1)
+}
+
 func TestEndAfterARestoreEndsRegistrationFromBefore(t *testing.T) {
 	tr, c := restored(reportAt(2, 50, 5, tracker.ConditionReady))
 	require.Len(t, tr.UsableInstances(), 1)
@@ -64,8 +73,10 @@
 		tr.ApplyRegistrations(c.Now(), []tracker.Entry{reportAt(1, 80, 9, tracker.ConditionReady)}, true, tracker.Offset(1, 81))
 		tr.ApplyRegistrations(c.Now(), []tracker.Entry{reportAt(1, 90, 10, condition)}, false, tracker.Offset(1, 91))
 		require.Empty(t, tr.UsableInstances())
-		tr.ApplyRegistrations(c.Now(), []tracker.Entry{reportAt(2, 70, 8, tracker.ConditionReady)}, true, tracker.Offset(2, 81))
-		require.Empty(t, tr.UsableInstances(), condition)
+		for _, known := range []int64{8, 9} {
+			tr.ApplyRegistrations(c.Now(), []tracker.Entry{reportAt(2, 70, known, tracker.ConditionReady)}, true, tracker.Offset(2, 81))
+			require.Empty(t, tr.UsableInstances(), condition)
+		}
 		tr.ApplyRegistrations(c.Now(), []tracker.Entry{reportAt(2, 82, 11, tracker.ConditionReady)}, false, tracker.Offset(2, 83))
 		require.Len(t, tr.UsableInstances(), 1, "it reports again after the restore")
 	}
