Share what Done and Release of the balancer have in common

Both ended a choice with the same lines. In choose, the check after an owner was asked releases the choice in one place. No behaviour changed; tests of pkg/balancer, internal/receiver and internal/picker pass.

--- a/internal/receiver/choose.go
+++ b/internal/receiver/choose.go
@@ -39,23 +39,23 @@
 			continue
 		}
 		d := r.Limiter.AdmitSend(ctx, c.ID)
-		if !d.Admitted {
+		switch {
+		case !d.Admitted:
 			r.Picker.Release(c, d.RetryAfter)
 			refused++
 			continue
-		}
-		if d.Owner == "" {
+		case d.Owner == "":
 			return c, result{}, true
 		}
-		// The instance may have left while its limit's owner was asked.
-		if res, ok = r.checkBeliefs(ctx); !ok {
-			r.Picker.Release(c, 0)
-			return c, res, false
-		}
-		if usable, _ := r.Tracker.Usable(c.ID); usable {
+		// What was known may have become stale, or the instance may have left, while its limit's owner was asked.
+		res, ok = r.checkBeliefs(ctx)
+		if usable, _ := r.Tracker.Usable(c.ID); ok && usable {
 			return c, result{}, true
 		}
 		r.Picker.Release(c, 0)
+		if !ok {
+			return c, res, false
+		}
 	}
 }
 
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -394,14 +394,10 @@
 // latency as a multiple of the usual latency of its route; it is ignored if zero, or if the outcome is not
 // OutcomeAnswered.
 func (b *Balancer) Done(now time.Time, c Choice, o Outcome, relativeLatency float64) {
-	s := b.instances[c.ID]
+	s := b.unassign(c)
 	if s == nil {
 		return
 	}
-	s.inFlight = max(0, s.inFlight-1)
-	if c.Trial {
-		s.trialsInFlight = max(0, s.trialsInFlight-1)
-	}
 	b.addEvidence(now, s, llr(o, true))
 	switch o {
 	case OutcomeAnswered:
@@ -416,15 +412,22 @@
 
 // Release ends a choice of Pick for which no request was sent. The instance is not picked again before a given time.
 func (b *Balancer) Release(c Choice, until time.Time) {
+	if s := b.unassign(c); s != nil {
+		s.withheldUntil = until
+	}
+}
+
+// unassign is the inverse of assign; it returns nil if the instance is no longer in the list.
+func (b *Balancer) unassign(c Choice) *state {
 	s := b.instances[c.ID]
 	if s == nil {
-		return
+		return nil
 	}
 	s.inFlight = max(0, s.inFlight-1)
 	if c.Trial {
 		s.trialsInFlight = max(0, s.trialsInFlight-1)
 	}
-	s.withheldUntil = until
+	return s
 }
 
 // NextAvailable returns the earliest time at which an instance that is not available now may be picked for a request; ok is
