Ask peers at the start also where the list of VMs is short

A store restored from a copy that is older than the fleet's announcements lists no or few VMs. A VM that started then took the fleet for a new one, read the list again and served without asking its peers, so that it could own rates that others own.

A VM that starts asks the leaders that it knows in each case, and VMs look every 0.2 s, not every second, whether they must announce themselves again. TestVMsOfNewFleetOwnNoRateBeforeAllAreAnnounced now expects the question in all its cases, and fails before in two of them.

--- a/internal/relayer/constants.go
+++ b/internal/relayer/constants.go
@@ -65,7 +65,7 @@
 	formationTime = 600 * time.Millisecond
 	// announceCheckInterval is the time between checks of whether this VM must announce itself again, and announceSpread
 	// the part of each VM in the time over which all VMs do, which bounds the writes to the store.
-	announceCheckInterval = time.Second
+	announceCheckInterval = 200 * time.Millisecond
 	announceSpread        = 10 * time.Millisecond
 	// restoreSettleTime is how long after a restore of the store the configuration that it has is not taken for the newest
 	// one: the operator writes again what was lost.
--- a/internal/relayer/loops.go
+++ b/internal/relayer/loops.go
@@ -370,7 +370,8 @@
 				if got, err = r.readMembers(ctx, got.Next); err != nil {
 					return err
 				}
-			} else if readAt.IsZero() {
+			}
+			if readAt.IsZero() {
 				r.catchUp(ctx)
 			}
 			after, readAt = got.Next, r.Clock.Now()
--- a/internal/relayer/members_test.go
+++ b/internal/relayer/members_test.go
@@ -88,11 +88,9 @@
 			}()
 			require.NoError(t, clock.BlockUntilContext(ctx, 1))
 			require.Equal(t, c.formed, r.Tracker.MembersKnown())
-			if c.formed {
-				require.Len(t, peers.to, 1, "the leader of the other failure domain is asked first")
-			}
 			clock.Advance(formationTime)
 			require.Eventually(t, r.Tracker.MembersKnown, time.Minute, time.Millisecond)
+			require.Len(t, peers.to, 1, "the leader of the other failure domain is asked before the VM serves")
 			if !c.formed {
 				require.Len(t, r.Tracker.Members(), 4)
 			}
