--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -65,10 +65,6 @@
 	fullTTL = 300 * time.Millisecond
 	// fullCost is the additional cost of an instance that counts as full, in service times.
 	fullCost = 1.0
-	// While instances have limits, the others get no more than maxQueue requests for each of their slots: what the limits
-	// keep away would fill their queues. fullRetryInterval is the time until one that is full may have room.
-	maxQueue          = 2
-	fullRetryInterval = 30 * time.Millisecond
 	// peerInFlightTTL is how long the number of requests that peers run at an instance is valid after its last update.
 	peerInFlightTTL = 1500 * time.Millisecond
 	// latencyWeight is the weight of a new sample in the moving average of relative latency.
@@ -174,20 +170,6 @@
 	Tried []string
 }
 
-// hasRoom reports whether a request may be sent to an instance now as far as limits are concerned.
-func (b *Balancer) hasRoom(now time.Time, s *state, r Request) bool {
-	if s.Limit > 0 {
-		return !r.AvoidLimited && !now.Before(s.withheldUntil)
-	}
-	return !b.limited || s.load(now) < maxQueue*max(1, s.Slots)
-}
-
-// available reports whether an instance that has room may get a request. While instances have limits, one that fails would
-// attract what these keep away, since it has few requests in flight; it gets trials only.
-func (b *Balancer) available(now time.Time, s *state, r Request) bool {
-	return b.hasRoom(now, s, r) && (!b.limited || s.evidence < suspectThreshold)
-}
-
 // Choice is a picked instance with the state that it was picked in.
 type Choice struct {
 	Instance
@@ -410,13 +392,6 @@
 	}
 }
 
-// Release ends a choice of Pick for which no request was sent. The instance is not picked again before a given time.
-func (b *Balancer) Release(c Choice, until time.Time) {
-	if s := b.unassign(c); s != nil {
-		s.withheldUntil = until
-	}
-}
-
 // unassign is the inverse of assign; it returns nil if the instance is no longer in the list.
 func (b *Balancer) unassign(c Choice) *state {
 	s := b.instances[c.ID]
@@ -430,24 +405,6 @@
 	return s
 }
 
-// NextAvailable returns the earliest time at which an instance that is not available now may be picked for a request; ok is
-// false if there is none that the request has not tried.
-func (b *Balancer) NextAvailable(now time.Time, r Request) (at time.Time, ok bool) {
-	for _, s := range b.order {
-		if b.hasRoom(now, s, r) || r.AvoidLimited && s.Limit > 0 || slices.Contains(r.Tried, s.ID) {
-			continue
-		}
-		next := now.Add(fullRetryInterval)
-		if s.Limit > 0 {
-			next = s.withheldUntil
-		}
-		if !ok || next.Before(at) {
-			at, ok = next, true
-		}
-	}
-	return at, ok
-}
-
 // Observe counts an outcome of a request that is still in flight, such as OutcomeOverdue, as evidence.
 func (b *Balancer) Observe(now time.Time, id string, o Outcome) {
 	if s := b.instances[id]; s != nil {
