Use the usual terms for waits that fail and limits that were observed

vainWaits and HeardLimits are failedWaits and ObservedLimits now, as ObserveLimit is, and their comments follow. Names and comments only; the tests of internal/receiver and internal/tracker pass.

--- a/internal/receiver/choose.go
+++ b/internal/receiver/choose.go
@@ -31,7 +31,7 @@
 		if !ok || refused == maxLimitAsks {
 			if res, ok = r.awaitToken(ctx, want, until, refused > 0); !ok {
 				if res.reason == ReasonLimited && r.Clock.Since(began) > limitPause {
-					r.vainWaits.note(r.service, r.Clock.Now())
+					r.failedWaits.note(r.service, r.Clock.Now())
 				}
 				return c, res, false
 			}
@@ -95,10 +95,10 @@
 	return r.checkBeliefs(ctx)
 }
 
-// maxLimitWait returns how long the request may wait for an instance whose limit is not reached. It is zero after another
-// request waited in vain.
+// maxLimitWait returns how long the request may wait for an instance whose limit is not reached. It is zero after the wait of
+// another request failed.
 func (r *retrier) maxLimitWait() time.Duration {
-	if r.vainWaits.recent(r.service, r.Clock.Now()) {
+	if r.failedWaits.recent(r.service, r.Clock.Now()) {
 		return 0
 	}
 	f := limitWaitNonIdempotent
@@ -109,22 +109,22 @@
 	return min(time.Duration(f*float64(r.route.Objective)), left/2)
 }
 
-// vainWaits holds when a request for a service last waited for an instance in vain. It is safe for concurrent use.
-type vainWaits struct {
+// failedWaits holds, by service, when a request last waited for an instance and got none. It is safe for concurrent use.
+type failedWaits struct {
 	mu sync.Mutex
 	at map[string]time.Time
 }
 
-func (v *vainWaits) note(service string, now time.Time) {
+func (v *failedWaits) note(service string, now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.at[service] = now
 }
 
-// recent reports whether a request waited in vain within vainWaitTTL.
-func (v *vainWaits) recent(service string, now time.Time) bool {
+// recent reports whether the wait of a request failed within failedWaitTTL.
+func (v *failedWaits) recent(service string, now time.Time) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	at, ok := v.at[service]
-	return ok && now.Sub(at) < vainWaitTTL
+	return ok && now.Sub(at) < failedWaitTTL
 }
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -43,15 +43,14 @@
 	maxViewFraction = 0.85
 	viewTimeout     = 300 * time.Millisecond
 	// While the limits of all instances of a service are reached, a request waits for a token for up to a fraction of its
-	// route's objective. Requests that may run only once wait longer: an instance that can run them is worth more to them,
-	// since they cannot be sent again.
+	// route's objective. Requests that may run only once wait longer, since they cannot be sent again after a failure.
 	limitWaitIdempotent    = 0.2
 	limitWaitNonIdempotent = 0.4
 	// maxLimitAsks bounds how many owners of limits are asked in a row for one request, before limitPause.
 	maxLimitAsks = 5
 	limitPause   = 20 * time.Millisecond
-	// vainWaitTTL is how long requests for a service do not wait after one waited in vain: most of them would, too.
-	vainWaitTTL = time.Second
+	// failedWaitTTL is how long requests for a service do not wait after the wait of one failed: most others would fail, too.
+	failedWaitTTL = time.Second
 	// maxDenyAge is the age of the configuration up to which requests are denied. A newer configuration may already
 	// have the unknown route or key.
 	maxDenyAge = 2500 * time.Millisecond
@@ -163,12 +162,12 @@
 // Receiver serves callers.
 type Receiver struct {
 	Options
-	vainWaits vainWaits
+	failedWaits failedWaits
 }
 
 // New returns a Receiver.
 func New(o Options) *Receiver {
-	return &Receiver{Options: o, vainWaits: vainWaits{at: map[string]time.Time{}}}
+	return &Receiver{Options: o, failedWaits: failedWaits{at: map[string]time.Time{}}}
 }
 
 // jitteredRetryAfter returns max(atLeast, minRetryAfter) plus up to retryAfterJitter at random.
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -470,7 +470,7 @@
 	require.Len(t, f.sends, 1)
 }
 
-func TestRequestsDoNotAllWaitInVainForALimit(t *testing.T) {
+func TestRequestsDoNotAllWaitForATokenThatNoneGets(t *testing.T) {
 	f := newFixture()
 	f.admitAfter(1000, 100*time.Millisecond)
 	f.nextAvailable = 100 * time.Millisecond
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -40,8 +40,8 @@
 	}
 	limitsSequence := k.limitsSequence
 	if !leader {
-		heard, n := r.Tracker.HeardLimits(k.limitsSequence)
-		limitsSequence, m.Limits = n, toLimits(r.Clock.Now(), heard)
+		observed, n := r.Tracker.ObservedLimits(k.limitsSequence)
+		limitsSequence, m.Limits = n, toLimits(r.Clock.Now(), observed)
 	}
 	began := r.Clock.Now()
 	m.LoadsKnown = !leader && began.Sub(k.loadsSentAt) >= fullReportInterval
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -106,7 +106,7 @@
 	sequence    uint64
 	// loadsSentAt is when this VM's loads were last sent to the peer.
 	loadsSentAt time.Time
-	// limitsSequence is the tracker's sequence number up to which the peer has the limits that this VM heard of.
+	// limitsSequence is the tracker's sequence number up to which the peer has the limits that this VM observed.
 	limitsSequence uint64
 }
 
--- a/internal/tracker/limits.go
+++ b/internal/tracker/limits.go
@@ -32,9 +32,9 @@
 // limitRecord is the latest statement of an instance that is known.
 type limitRecord struct {
 	Limit
-	// sequence is the tracker's sequence number of the last change, and heardSequence that of the last change that came in
+	// sequence is the tracker's sequence number of the last change, and observedSequence that of the last change that came in
 	// a response to this VM.
-	sequence, heardSequence uint64
+	sequence, observedSequence uint64
 }
 
 // ObserveLimit records what a response of an instance stated about its limit; a rate of zero means that it stated none. The
@@ -53,7 +53,7 @@
 	}
 	changed := t.applyLimit(sourceResponse, l)
 	if changed {
-		t.limits[instance].heardSequence = t.sequence
+		t.limits[instance].observedSequence = t.sequence
 	}
 	t.mu.Unlock()
 	t.notifyInstancesChange()
@@ -80,8 +80,8 @@
 		if l.Rate != known.Rate {
 			// The peer must learn the later statement.
 			known.sequence = t.recordChange()
-			if known.heardSequence > 0 {
-				known.heardSequence = known.sequence
+			if known.observedSequence > 0 {
+				known.observedSequence = known.sequence
 			}
 		}
 		return false
@@ -124,14 +124,14 @@
 	return l.Rate
 }
 
-// HeardLimits returns the limits that came in responses to this VM and changed after a sequence number, and the sequence
+// ObservedLimits returns the limits that came in responses to this VM and changed after a sequence number, and the sequence
 // number to continue from.
-func (t *Tracker) HeardLimits(sequence uint64) ([]Limit, uint64) {
+func (t *Tracker) ObservedLimits(sequence uint64) ([]Limit, uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var ls []Limit
 	for _, l := range t.limits {
-		if l.heardSequence > sequence {
+		if l.observedSequence > sequence {
 			ls = append(ls, l.Limit)
 		}
 	}
--- a/internal/tracker/limits_test.go
+++ b/internal/tracker/limits_test.go
@@ -77,19 +77,19 @@
 	require.InDelta(t, 4, tr.UsableInstances()[0].Limit, 0)
 }
 
-func TestHeardLimitsAreThoseOfOwnResponses(t *testing.T) {
+func TestObservedLimitsAreThoseOfOwnResponses(t *testing.T) {
 	a, c := newTracker()
 	b := tracker.New(c, zap.NewNop())
 	observe(a, c, 5)
-	ls, n := a.HeardLimits(0)
+	ls, n := a.ObservedLimits(0)
 	require.Len(t, ls, 1)
-	ls, _ = a.HeardLimits(n)
+	ls, _ = a.ObservedLimits(n)
 	require.Empty(t, ls)
 	relayLimits(a, b)
-	ls, _ = b.HeardLimits(0)
+	ls, _ = b.ObservedLimits(0)
 	require.Empty(t, ls)
 	c.Advance(time.Second)
 	observe(b, c, 3)
-	ls, _ = b.HeardLimits(0)
+	ls, _ = b.ObservedLimits(0)
 	require.Len(t, ls, 1)
 }
