Pass configurations on as changes, in parts that no time limit ends

Cause: the whole configuration travelled as JSON in the reply to an exchange, which has 0.36 s. Where that does not suffice, a follower gave up, suspected its leader and began anew at another one, or at the store, whose reads had 1 s in all; the transfers that nobody received filled the links.

Change: VMs state their version only. Who lacks it fetches the changes between versions, compressed, in parts with a time limit each; what arrived is kept and goes on at any VM with the same content. A VM sends them on half of its link at most. Reads of the store may take as long as bytes arrive, begin where the peers have read to, and decode the newest configuration only. A version that is not in force confirms nothing: TestOlderConfigurationDoesNotConfirmTheKnownOne had asserted the opposite for a newer one, which was safe only while the configuration came in the same message. TestReadsReachTheEnd asserted all 12 versions of a read; it now asserts the newest, and the position at the end. Routes are in a radix tree that versions share, so that a lookup does not go through all routes of a host.

--- a/internal/relayer/constants.go
+++ b/internal/relayer/constants.go
@@ -50,9 +50,12 @@
 	staleJitterShare   = 0.15
 	// staleReadInterval is the minimum time between two reads of one VM because of stale state.
 	staleReadInterval = 700 * time.Millisecond
-	// storeTimeout bounds a call to the store, in addition to the wait that the call requests. With the backoff, it is
-	// less than the 3 s after which a VM must know all changes again that it missed while it or the store was away.
-	storeTimeout = time.Second
+	// StoreTimeout is how long a call to the store may go without progress, in addition to the wait that the call requests.
+	// With the backoff, it is less than the 3 s after which a VM must know all changes again that it missed while it or the
+	// store was away.
+	StoreTimeout = time.Second
+	// maxReadTime bounds a read that may take several calls. A VM whose read takes long gets what others read first.
+	maxReadTime = 20 * time.Second
 	// initialBackoff and maxBackoff bound the delay before a failed call to the store is retried.
 	initialBackoff = 100 * time.Millisecond
 	maxBackoff     = time.Second
@@ -114,6 +117,27 @@
 	reachableSlack = 0.03
 	// leaderCapacityShare is the minimum capacity of a leader, as a share of the capacity of the strongest candidate.
 	leaderCapacityShare = 0.5
+	// partBytes is the size of the parts in which configurations are passed on, in bytes: 7 ms of a link of 20 Mbit/s.
+	partBytes = 16 << 10
+	// partTimeout bounds the request for one part. A VM waits for room on its link for up to maxPartDelay before it sends
+	// a part, and refuses to if that does not suffice.
+	partTimeout  = 2 * time.Second
+	maxPartDelay = 500 * time.Millisecond
+	// fetchRetryDelay is the mean delay before a fetch that failed is continued.
+	fetchRetryDelay = 100 * time.Millisecond
+	// catchUpTimeout bounds the fetch from each leader before a VM serves.
+	catchUpTimeout = time.Second
+	// transferLinkShare is the share of its link that a VM uses to pass configurations on.
+	transferLinkShare = 0.5
+	// A VM keeps up to maxChanges changes of the configuration, of maxChangesBytes together, and maxWholes whole ones. One
+	// that is more than maxSteps changes behind gets a whole configuration.
+	maxChanges      = 64
+	maxChangesBytes = 1 << 20
+	maxWholes       = 2
+	maxSteps        = 16
+	// maxConfigurationBytes and maxContentBytes bound a decoded and an encoded configuration, in bytes.
+	maxConfigurationBytes = 256 << 20
+	maxContentBytes       = 64 << 20
 	// outboxTTL is how long outcomes are kept for a peer that does not fetch them, and how long its load report is
 	// used.
 	outboxTTL = 3 * time.Second
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -31,7 +31,7 @@
 	k := r.cursors[to.Address]
 	m := &wire.Exchange{
 		Incarnation: k.incarnation, Sequence: k.sequence, WaitMs: uint32(wait.Milliseconds()),
-		Role: uint32(r.role), Capacity: r.Capacity, Leader: leader,
+		Role: uint32(r.role), Capacity: r.Capacity, Leader: leader, FetchesConfiguration: true,
 	}
 	var sent outbox
 	if !leader {
@@ -110,7 +110,7 @@
 			r.Logger.Error("cannot decode the configuration from a peer", zap.Stringer("peer", from.Address), logger.Err(err))
 			return
 		}
-		r.Tracker.ApplyConfiguration(conf)
+		r.applyTable(router.New(conf), content{})
 	}
 	sent := began.Add(time.Duration(b.GetHeldMs()) * time.Millisecond)
 	instances := tracker.Changes{Complete: b.GetInstancesComplete(), End: b.GetInstancesEnd()}
@@ -128,13 +128,7 @@
 	}
 	r.Tracker.MergeInstances(from.Address, instances)
 	r.Tracker.MergeLimits(from.Address.String(), fromLimits(now, sent, b.GetLimits()))
-	if b.GetConfigurationKnown() {
-		version := b.GetConfigurationVersion()
-		if t, _ := r.Tracker.Table(); version == 0 && t != nil {
-			version = t.Version // A daemon without the field does not tell.
-		}
-		r.Tracker.MarkTableFresh(version, sent.Add(-time.Duration(b.GetConfigurationAgeMs())*time.Millisecond))
-	}
+	r.applyVersion(from.Address, b, sent)
 	for _, m := range b.GetMembers() {
 		vm, err := messenger.FromVM(m.GetVm())
 		if err != nil {
@@ -256,6 +250,9 @@
 		sequence = 0
 	}
 	c := r.awaitChanges(ctx, sequence, b, time.Duration(m.GetWaitMs())*time.Millisecond)
+	if m.GetFetchesConfiguration() {
+		c.Table = nil
+	}
 	now := r.Clock.Now()
 	rep := r.encodeChanges(now, c)
 	// The ages in the reply are those at the end of this time; what follows may take long on a busy VM.
@@ -342,7 +339,7 @@
 		Incarnation: r.Self.Incarnation, Sequence: c.Sequence,
 		ConfigurationKnown: !c.TableReadAt.IsZero(), InstancesKnown: !c.EntriesReadAt.IsZero(),
 		ConfigurationAgeMs: ageMs(now, c.TableReadAt), InstancesAgeMs: ageMs(now, c.EntriesReadAt),
-		InstancesComplete: c.Complete, InstancesEnd: c.End, ConfigurationVersion: c.TableVersion,
+		InstancesComplete: c.Complete, InstancesEnd: c.End, ConfigurationVersion: c.TableVersion, ConfigurationEnd: c.TableEnd,
 	}
 	if c.Table != nil {
 		b, err := json.Marshal(c.Table.Configuration)
--- a/internal/relayer/loops.go
+++ b/internal/relayer/loops.go
@@ -31,7 +31,7 @@
 // announceOnce publishes this VM in the store, with retries until the context ends.
 func (r *Relayer) announceOnce(ctx context.Context) (epoch uint64, ok bool) {
 	for backoff := initialBackoff; ctx.Err() == nil; backoff = min(2*backoff, maxBackoff) {
-		c, cancel := context.WithTimeout(ctx, storeTimeout)
+		c, cancel := context.WithTimeout(ctx, StoreTimeout)
 		epoch, err := r.Source.Announce(c, tracker.Member{VM: r.Self, Role: tracker.RoleStarting, Capacity: r.Capacity, AsOf: r.Clock.Now()})
 		cancel()
 		if err == nil {
@@ -236,7 +236,7 @@
 		if !responsible {
 			wait = 0
 		}
-		c, cancel := context.WithTimeout(ctx, wait+storeTimeout)
+		c, cancel := context.WithTimeout(ctx, wait+maxReadTime)
 		err := p.read(c, wait)
 		cancel()
 		r.countRead(p.name, err)
@@ -275,17 +275,20 @@
 		},
 		read: func(ctx context.Context, wait time.Duration) error {
 			began := r.Clock.Now()
+			if version, end := r.Tracker.TableEnd(); end > tracker.Offset(after.Epoch, after.Offset) {
+				after = found.learn(version, end) // A peer has read more.
+			}
 			got, err := r.Source.Configurations(ctx, after, found.wait(began, wait))
 			if err != nil {
 				return err
 			}
 			for _, c := range got.Items {
-				r.Tracker.ApplyConfiguration(c)
+				r.applyTable(router.New(c), content{})
 			}
 			after = got.Next
 			found.add(began, got)
 			if found.current(began) {
-				r.Tracker.MarkTableFresh(found.newest, began)
+				r.Tracker.MarkTableFresh(found.newest, began, tracker.Offset(after.Epoch, after.Offset))
 				found.confirmed = true
 			}
 			return nil
@@ -326,6 +329,13 @@
 	}
 }
 
+// learn records that a peer confirmed a version, and returns the position up to which it had read the operator's records.
+func (f *configurationReads) learn(version int64, end uint64) Position {
+	epoch, offset := tracker.Split(end)
+	f.epoch, f.newest, f.restoredAt, f.confirmed = epoch, version, time.Time{}, true
+	return Position{Epoch: epoch, Offset: offset, Known: true}
+}
+
 // current reports whether the newest version of a read that began at the given time is the newest one that was published.
 // Just after a restore it may not be: the operator still writes again what was lost.
 func (f *configurationReads) current(began time.Time) bool {
@@ -398,7 +408,13 @@
 			continue
 		}
 		g.Go(func() {
-			if err := r.exchange(ctx, l, 0, l.Domain != r.Self.Domain); err != nil {
+			err := r.exchange(ctx, l, 0, l.Domain != r.Self.Domain)
+			if err == nil {
+				c, cancel := context.WithTimeout(ctx, catchUpTimeout)
+				defer cancel()
+				err = r.fetchFrom(c, l.Address)
+			}
+			if err != nil {
 				r.Logger.Info("peer not asked at the start", zap.Stringer("peer", l.Address), logger.Err(err))
 			}
 		})
--- a/internal/relayer/rates.go
+++ b/internal/relayer/rates.go
@@ -162,12 +162,11 @@
 }
 
 func limitOf(t *router.Table, account string) (limiter.Limit, bool) {
-	for i := range t.Accounts {
-		if a := &t.Accounts[i]; a.Name == account {
-			return limiter.Limit{Rate: a.Rate, Burst: limiter.Tokens(max(1, a.Burst))}, true
-		}
+	a := t.AccountByName(account)
+	if a == nil {
+		return limiter.Limit{}, false
 	}
-	return limiter.Limit{}, false
+	return limiter.Limit{Rate: a.Rate, Burst: limiter.Tokens(max(1, a.Burst))}, true
 }
 
 // fallback is the state from which a VM admits requests of an account without its owner.
--- a/internal/relayer/reader_test.go
+++ b/internal/relayer/reader_test.go
@@ -199,7 +199,7 @@
 	const bound, read = 3 * time.Second, 100 * time.Millisecond
 	for range 1000 {
 		for _, responsible := range []bool{true, false} {
-			recovered := storeTimeout + jittered(nextBackoff(time.Hour, responsible)) + read
+			recovered := StoreTimeout + jittered(nextBackoff(time.Hour, responsible)) + read
 			if responsible {
 				recovered += leaderExchangeWait + minReplyInterval + exchangeWait
 			}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -48,6 +48,7 @@
 	Options
 	rates     *rates
 	limits    *limits
+	transfers *transfers
 	startedAt time.Time
 
 	mu   sync.Mutex
@@ -118,7 +119,7 @@
 		cursors: map[netip.AddrPort]cursor{}, domainsLive: map[string]liveCount{},
 		reads: map[string]float64{}, decisions: map[string]float64{}, limitDecisions: map[string]float64{},
 	}
-	r.rates, r.limits = newRates(r), newLimits(r)
+	r.rates, r.limits, r.transfers = newRates(r), newLimits(r), newTransfers(r)
 	return r
 }
 
@@ -152,7 +153,7 @@
 // Run exchanges with peers and reads the store until the context ends.
 func (r *Relayer) Run(ctx context.Context) {
 	r.updateSelf()
-	loops := []func(context.Context){r.announce, r.readConfiguration, r.readRegistrations, r.readPeers, r.followLeader, r.runLeader, r.sendReports}
+	loops := []func(context.Context){r.announce, r.readConfiguration, r.readRegistrations, r.readPeers, r.followLeader, r.runLeader, r.sendReports, r.fetchConfigurations}
 	var g sync.WaitGroup
 	for _, l := range loops {
 		g.Go(func() { l(ctx) })
@@ -342,6 +343,9 @@
 	switch b := req.GetBody().(type) {
 	case *wire.Request_Exchange:
 		return &wire.Reply{Body: &wire.Reply_Beliefs{Beliefs: r.handleExchange(ctx, from, b.Exchange)}}, nil, nil
+	case *wire.Request_FetchConfiguration:
+		p, err := r.handleFetch(ctx, b.FetchConfiguration)
+		return &wire.Reply{Body: &wire.Reply_ConfigurationPart{ConfigurationPart: p}}, nil, err
 	case *wire.Request_Take:
 		t, err := r.rates.grant(b.Take.GetAccount(), int(b.Take.GetWant()))
 		return takenReply(t), nil, err
--- a/internal/relayer/source.go
+++ b/internal/relayer/source.go
@@ -25,10 +25,10 @@
 	Next     Position
 }
 
-// Source is the platform's store.
+// Source is the platform's store. Its methods fail once the store makes no progress for StoreTimeout.
 type Source interface {
-	// Configurations returns the configurations published after a position. If there are none, it waits for one for up
-	// to wait.
+	// Configurations returns the newest configuration published after a position. If there is none, it waits for one for
+	// up to wait.
 	Configurations(ctx context.Context, after Position, wait time.Duration) (Read[router.Configuration], error)
 	// Registrations returns the instances' registrations written after a position.
 	Registrations(ctx context.Context, after Position) (Read[tracker.Entry], error)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -1,55 +1,83 @@
 package router
 
 import (
-	"cmp"
-	"slices"
 	"strings"
+
+	iradix "github.com/hashicorp/go-immutable-radix/v2"
 )
 
-// Table is a configuration with indexes for the lookups that each request needs. It is immutable.
+// Table is a configuration with indexes for the lookups that each request needs. It is immutable. Its lists are in order of
+// name.
 type Table struct {
 	Configuration
-	routesByHost   map[string][]*Route
+	// routes are the routes by host and prefix. Tables of successive versions share what did not change.
+	routes         *iradix.Tree[*Route]
 	accountsByKey  map[string]*Account
+	accountsByName map[string]*Account
 	servicesByName map[string]*Service
 }
 
 // New returns the table of a configuration.
 func New(c Configuration) *Table {
-	t := &Table{
-		Configuration: c,
-		routesByHost:  map[string][]*Route{}, accountsByKey: map[string]*Account{}, servicesByName: map[string]*Service{},
-	}
-	for i := range c.Routes {
-		r := &c.Routes[i]
-		h := strings.ToLower(r.Host)
-		t.routesByHost[h] = append(t.routesByHost[h], r)
+	c.Routes, c.Services, c.Accounts = sortedByName(c.Routes), sortedByName(c.Services), sortedByName(c.Accounts)
+	t := &Table{Configuration: c, routes: iradix.New[*Route]()}
+	t.indexRoutes(nil, c.Routes)
+	t.indexAccounts()
+	t.indexServices()
+	return t
+}
+
+// indexRoutes removes routes from the index and then adds others.
+func (t *Table) indexRoutes(removed, added []Route) {
+	x := t.routes.Txn()
+	for i := range removed {
+		x.Delete(removed[i].key())
 	}
-	for _, rs := range t.routesByHost {
-		slices.SortStableFunc(rs, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	for _, r := range added {
+		x.Insert(r.key(), &r) // A copy: the index must not keep the lists of former tables.
 	}
-	for i := range c.Accounts {
-		for _, k := range c.Accounts[i].Keys {
-			t.accountsByKey[k] = &c.Accounts[i]
+	t.routes = x.Commit()
+}
+
+func (t *Table) indexAccounts() {
+	t.accountsByKey, t.accountsByName = map[string]*Account{}, map[string]*Account{}
+	for i := range t.Accounts {
+		a := &t.Accounts[i]
+		t.accountsByName[a.Name] = a
+		for _, k := range a.Keys {
+			t.accountsByKey[k] = a
 		}
 	}
-	for i := range c.Services {
-		t.servicesByName[c.Services[i].Name] = &c.Services[i]
+}
+
+func (t *Table) indexServices() {
+	t.servicesByName = map[string]*Service{}
+	for i := range t.Services {
+		t.servicesByName[t.Services[i].Name] = &t.Services[i]
 	}
-	return t
 }
 
+// key returns the route's key in the index. A host has no slash and a prefix begins with one.
+func (r *Route) key() []byte { return routeKey(r.Host, r.Prefix) }
+
+func routeKey(host, path string) []byte { return []byte(strings.ToLower(host) + path) }
+
 // Route returns the route of a host with the longest prefix that matches a path, or nil. A port in host is ignored.
 func (t *Table) Route(host, path string) *Route {
-	if i := strings.LastIndexByte(host, ':'); i >= 0 {
-		host = host[:i]
+	host = hostname(host)
+	_, r, ok := t.routes.Root().LongestPrefix(routeKey(host, path))
+	if !ok || !strings.EqualFold(r.Host, host) { // A host with a slash could match the host and prefix of another.
+		return nil
 	}
-	for _, r := range t.routesByHost[strings.ToLower(host)] {
-		if strings.HasPrefix(path, r.Prefix) {
-			return r
-		}
+	return r
+}
+
+// hostname returns a host without its port.
+func hostname(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 {
+		return host[:i]
 	}
-	return nil
+	return host
 }
 
 // NeedsKey reports whether requests of a route need a key: the route is not open and there are client accounts.
@@ -63,6 +91,9 @@
 	return t.accountsByKey[key]
 }
 
+// AccountByName returns a client account by its name, or nil.
+func (t *Table) AccountByName(name string) *Account { return t.accountsByName[name] }
+
 // Service returns a service by its name, or nil.
 func (t *Table) Service(name string) *Service { return t.servicesByName[name] }
 
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -27,6 +27,9 @@
 	mu       sync.Mutex
 	table    *router.Table
 	tableSeq uint64
+	// tableEnd is the offset up to which the configuration covers the operator's records, as the function Offset returns
+	// it; zero if unknown.
+	tableEnd uint64
 	// tableReadAt and entriesReadAt are the start times of the latest reads that confirmed the configuration and the
 	// instances.
 	tableReadAt, entriesReadAt time.Time
@@ -124,35 +127,57 @@
 }
 
 // ApplyConfiguration puts a configuration in force if its version is higher than that of the current one.
-func (t *Tracker) ApplyConfiguration(c router.Configuration) {
+func (t *Tracker) ApplyConfiguration(c router.Configuration) { t.ApplyTable(router.New(c)) }
+
+// ApplyTable puts a table in force if its version is higher than that of the current one. It returns the table that was in
+// force before, nil if there was none, and whether the new one is.
+func (t *Tracker) ApplyTable(n *router.Table) (before *router.Table, applied bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.table != nil && c.Version <= t.table.Version {
-		if c.Version < t.table.Version {
-			t.logger.Info("configuration not applied", zap.Int64("version", c.Version), zap.Int64("known", t.table.Version))
-		}
-		return
-	}
+	before = t.table
 	previous := int64(0)
-	if t.table != nil {
-		previous = t.table.Version
+	if before != nil {
+		previous = before.Version
+	}
+	if n.Version <= previous {
+		if n.Version < previous {
+			t.logger.Info("configuration not applied", zap.Int64("version", n.Version), zap.Int64("known", previous))
+		}
+		return before, false
 	}
-	t.table = router.New(c)
+	t.table = n
 	t.tableSeq = t.recordChange()
-	t.logger.Info("configuration in force", zap.Int64("version", c.Version), zap.Int64("before", previous),
-		zap.Int("routes", len(c.Routes)), zap.Int("accounts", len(c.Accounts)))
+	t.logger.Info("configuration in force", zap.Int64("version", n.Version), zap.Int64("before", previous),
+		zap.Int("routes", len(n.Routes)), zap.Int("accounts", len(n.Accounts)))
+	return before, true
 }
 
 // MarkTableFresh records that a read which began at the given time found a version of the configuration, and none that is
-// newer. It does not confirm the known configuration if that is newer: the store may have lost it, and others after it.
-func (t *Tracker) MarkTableFresh(version int64, readAt time.Time) {
+// newer, and that it covers the operator's records up to an offset, zero if unknown. It confirms the known configuration
+// only if that has this version: a newer one may have been lost by the store, and an older one was replaced.
+func (t *Tracker) MarkTableFresh(version int64, readAt time.Time, end uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.table != nil && version >= t.table.Version && readAt.After(t.tableReadAt) {
+	if t.table == nil || version != t.table.Version {
+		return
+	}
+	t.tableEnd = max(t.tableEnd, end)
+	if readAt.After(t.tableReadAt) {
 		t.tableReadAt = readAt
 	}
 }
 
+// TableEnd returns the version of the configuration in force, and the offset up to which it covers the operator's records;
+// zero if unknown.
+func (t *Tracker) TableEnd() (version int64, end uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.table == nil {
+		return 0, 0
+	}
+	return t.table.Version, t.tableEnd
+}
+
 // Epoch returns the epoch of the store up to which the records cover the registry.
 func (t *Tracker) Epoch() uint64 {
 	t.mu.Lock()
@@ -245,8 +270,10 @@
 	// TableReadAt and EntriesReadAt are the start times of the reads that confirmed the configuration and the
 	// instances; zero if there were none.
 	TableReadAt, EntriesReadAt time.Time
-	// TableVersion is the version of the configuration in force, zero if there is none.
+	// TableVersion is the version of the configuration in force, zero if there is none, and TableEnd the offset up to
+	// which it covers the operator's records.
 	TableVersion int64
+	TableEnd     uint64
 }
 
 // ChangesSince returns the changes after a sequence number, and a channel that is closed at the next change.
@@ -258,7 +285,7 @@
 		Complete: t.end > 0 && sequence < t.replacedSequence,
 	}
 	if t.table != nil {
-		c.TableVersion = t.table.Version
+		c.TableVersion, c.TableEnd = t.table.Version, t.tableEnd
 	}
 	if t.table != nil && t.tableSeq > sequence {
 		c.Table = t.table
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -205,7 +205,7 @@
 	began := c.Now()
 	c.Advance(time.Second)
 	for _, readAt := range []time.Time{began, began.Add(-time.Second)} {
-		tr.MarkTableFresh(1, readAt)
+		tr.MarkTableFresh(1, readAt, 0)
 		tr.ApplyRegistrations(readAt, nil, false, 1)
 	}
 	table, entries := tr.Ages()
@@ -248,7 +248,7 @@
 	<-done
 	wait()
 	tr.ApplyConfiguration(router.Configuration{Version: 1})
-	tr.MarkTableFresh(1, clock.Now())
+	tr.MarkTableFresh(1, clock.Now(), 0)
 	tr.ApplyRegistrations(clock.Now(), nil, false, 1)
 	tr.MarkMembersKnown()
 	<-done
