Serve uploads, splits and requests sent ahead; tell which route answered

Callers whose body stopped midway held their request and its memory for as long as they stayed, and one that waited for the answer before it sent the rest got none, though its instance had answered: the server reads on before it writes a response that does not close the connection. Buffered bodies took up to 128 KB each, however many came at once. Now a body must arrive within the request's time (408, not run), a response before the body's end closes the connection, and buffered bodies take an eighth of the memory at most; further ones are streamed.

Which route answered. Requests that the first instance answered had no line in the log; up to 25 a second have one now, with route and version. TestForwardsEndToEndHeadersAndBody asserted that there is none: it now asserts the line, and that most are only counted under load.

--- a/internal/receiver/exchange.go
+++ b/internal/receiver/exchange.go
@@ -6,10 +6,11 @@
 	"crypto/rand"
 	"encoding/hex"
 	"io"
-	mathrand "math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -36,8 +37,10 @@
 	service   string
 	deadline  time.Time
 	body      []byte
-	// bodyRest reads the rest of a body that exceeds maxBufferedBody; nil if body is complete.
-	bodyRest io.Reader
+	// bodyRest reads the rest of a body that is not buffered as a whole; nil if body is complete.
+	bodyRest *restReader
+	// reserved is the memory reserved for body, in bytes.
+	reserved int64
 
 	configurationVersion int64
 	configurationAge     time.Duration
@@ -71,6 +74,7 @@
 		_, _ = rand.Read(b[:]) // rand.Read never fails.
 		x.id = hex.EncodeToString(b[:])
 	}
+	defer x.release()
 	res, ok := x.prepare()
 	if ok {
 		ctx, cancel := context.WithDeadline(x.req.Context(), time.Now().Add(x.deadline.Sub(x.Clock.Now())))
@@ -117,7 +121,7 @@
 	if res, ok = x.readBody(table.Limits); !ok {
 		return res, false
 	}
-	x.service = x.route.PickService(mathrand.Float64())
+	x.service = x.splits.pick(x.route)
 	x.admission = x.Admitter.Admit(x.req.Context(), x.account)
 	if !x.admission.Admitted {
 		return result{
@@ -167,24 +171,69 @@
 	if x.req.Body == nil || x.req.Body == http.NoBody {
 		return result{}, true
 	}
+	// Writers without deadlines are those of tests.
+	rc := http.NewResponseController(x.w)
+	_ = rc.SetReadDeadline(time.Now().Add(x.deadline.Sub(x.Clock.Now())))
 	src := http.MaxBytesReader(x.w, x.req.Body, l.MaxBodyBytes)
-	b, err := io.ReadAll(io.LimitReader(src, maxBufferedBody+1))
+	buffered := x.bufferedLength()
+	b, err := io.ReadAll(io.LimitReader(src, buffered+1))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return refuse(ReasonTooLarge, http.StatusRequestEntityTooLarge, "the body is longer than allowed"), false
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return refuse(ReasonBadBody, http.StatusRequestTimeout, "the body did not arrive in time"), false
 	case err != nil && x.req.Context().Err() != nil:
 		return result{reason: ReasonCanceled}, false
 	case err != nil:
 		return refuse(ReasonBadBody, http.StatusBadRequest, err.Error()), false
 	}
+	// The server watches the connection while the request is handled, and would take a deadline for the caller's leaving.
+	_ = rc.SetReadDeadline(time.Time{})
 	x.body = b
-	if len(b) > maxBufferedBody {
-		x.bodyRest = src
+	if int64(len(b)) > buffered {
+		x.bodyRest = &restReader{r: src}
 	}
 	return result{}, true
 }
 
+// restReader reads the rest of a body.
+type restReader struct {
+	r io.Reader
+	// ended is set once the body was read to its end.
+	ended atomic.Bool
+}
+
+// Read implements io.Reader.
+func (r *restReader) Read(b []byte) (int, error) {
+	n, err := r.r.Read(b)
+	if errors.Is(err, io.EOF) {
+		r.ended.Store(true)
+	}
+	return n, err
+}
+
+// bufferedLength returns how much of the body to buffer, in bytes. It reserves memory for bodies that are not small, which
+// release gives back; while too many requests hold theirs, the body is streamed.
+func (x *exchange) bufferedLength() int64 {
+	n := x.req.ContentLength
+	if n < 0 || n > maxBufferedBody {
+		n = maxBufferedBody
+	}
+	if n <= smallBody {
+		return smallBody
+	}
+	if x.bodyBytes.Add(n) > x.MaxBodyMemory {
+		x.bodyBytes.Add(-n)
+		return smallBody
+	}
+	x.reserved = n
+	return n
+}
+
+// release gives back the memory that bufferedLength reserved.
+func (x *exchange) release() { x.bodyBytes.Add(-x.reserved) }
+
 // hopByHopHeaders are the hop-by-hop headers, which are not forwarded.
 var hopByHopHeaders = []string{
 	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
@@ -219,10 +268,10 @@
 	}
 	r := forwarder.Request{
 		ID: x.id, Method: x.req.Method, Target: x.target, Host: x.req.Host, Header: h,
-		Body: x.body, BodyRest: x.bodyRest, Length: int64(len(x.body)),
+		Body: x.body, Length: int64(len(x.body)),
 	}
 	if x.bodyRest != nil {
-		r.Length, r.Chunked = x.req.ContentLength, x.req.ContentLength < 0
+		r.BodyRest, r.Length, r.Chunked = x.bodyRest, x.req.ContentLength, x.req.ContentLength < 0
 	}
 	return r
 }
@@ -238,14 +287,22 @@
 	x.Observer.Observe(name, res.reason, res.status, took)
 	if res.reason != ReasonAnswered || len(x.tried) > 1 || res.status >= http.StatusInternalServerError {
 		x.logRequest(res, name, took)
+	} else if x.answerLog.AllowN(x.Clock.Now(), 1) {
+		x.Logger.Info("answered", zap.String("id", x.id), zap.String("route", name), zap.Int64("version", x.configurationVersion),
+			zap.String("service", x.service), zap.Strings("tried", x.tried), zap.Int("status", res.status), zap.Duration("took", took))
 	}
 	if res.reason == ReasonCanceled {
 		panic(http.ErrAbortHandler)
 	}
 	h := x.w.Header()
-	if x.Draining() {
+	unread := x.bodyRest != nil && !x.bodyRest.ended.Load()
+	if x.Draining() || unread {
 		h.Set("Connection", "close")
 	}
+	if unread {
+		// The server reads on for a while after the response; a caller that stopped sending must not hold it.
+		_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+	}
 	if res.response != nil {
 		x.writeResponse(res)
 		return
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -5,10 +5,12 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"github.com/jacinthproxy/jacinthproxy/internal/forwarder"
 	"github.com/jacinthproxy/jacinthproxy/internal/relayer"
@@ -20,6 +22,14 @@
 	// maxBufferedBody is the longest request body that is buffered for retries, in bytes. The rest of a longer body is
 	// streamed to one instance only.
 	maxBufferedBody = 128 << 10
+	// smallBody is the length up to which a request body is always buffered, in bytes.
+	smallBody = 8 << 10
+	// answersPerSecond and answersBurst bound the log lines of requests that were answered by the first instance, so that
+	// they leave room for those of failures.
+	answersPerSecond = 25
+	answersBurst     = 100
+	// unreadBodyTimeout bounds the time that a connection stays open after a response before the body's end.
+	unreadBodyTimeout = time.Second
 	// hedgeFraction is the fraction of a route's latency objective after which an idempotent request is hedged.
 	hedgeFraction = 0.6
 	// maxIdleNonIdempotent is the longest idle time after which a kept connection may carry a request that is not
@@ -151,6 +161,9 @@
 	MaxKeyAge time.Duration
 	// DrainTimeout is how long an instance that left may still get requests.
 	DrainTimeout time.Duration
+	// MaxBodyMemory bounds the memory for buffered request bodies that are not small, in bytes. Beyond it, bodies are
+	// streamed.
+	MaxBodyMemory int64
 	// Started is when this VM started.
 	Started time.Time
 	// Draining reports whether this VM is draining before it stops.
@@ -163,11 +176,16 @@
 type Receiver struct {
 	Options
 	failedWaits failedWaits
+	splits      splits
+	// answerLog bounds the log lines of requests that were answered by the first instance.
+	answerLog *rate.Limiter
+	// bodyBytes is the memory reserved for request bodies.
+	bodyBytes atomic.Int64
 }
 
 // New returns a Receiver.
 func New(o Options) *Receiver {
-	return &Receiver{Options: o, failedWaits: failedWaits{at: map[string]time.Time{}}}
+	return &Receiver{Options: o, failedWaits: failedWaits{at: map[string]time.Time{}}, splits: splits{at: map[string]float64{}}, answerLog: rate.NewLimiter(answersPerSecond, answersBurst)}
 }
 
 // jitteredRetryAfter returns max(atLeast, minRetryAfter) plus up to retryAfterJitter at random.
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -84,7 +84,7 @@
 			HeaderNames: forwarder.HeaderNames{RequestID: "Id", Signature: "Sig", NotRun: "Nr"},
 			Key:         "Key", Account: "Account", Deadline: "Deadline", ExpectedInstance: "Expected",
 		},
-		Tracker: f, Admitter: f, Limiter: f, Picker: f, Sender: f, Observer: f, MaxKeyAge: 5 * time.Second, DrainTimeout: 2 * time.Second,
+		Tracker: f, Admitter: f, Limiter: f, Picker: f, Sender: f, Observer: f, MaxKeyAge: 5 * time.Second, DrainTimeout: 2 * time.Second, MaxBodyMemory: 1 << 20,
 		Draining: func() bool { return f.leaving }, Clock: f.clock, Logger: zap.New(core),
 	})
 	return f
@@ -200,7 +200,15 @@
 	require.Equal(t, "/once/x?y=1", s.Target)
 	require.Equal(t, "body", string(s.Body))
 	require.Equal(t, http.Header{"Id": {"r-1"}, "Deadline": {"2000"}, "Expected": {"i-1"}, "Account": {"t"}, "X-End": {"2"}}, s.Header)
-	require.Empty(t, f.logs.All(), "a request that succeeds at the first instance is counted, not logged")
+	lines := f.logs.All()
+	require.Len(t, lines, 1)
+	require.Equal(t, "answered", lines[0].Message)
+	require.Equal(t, "once", lines[0].ContextMap()["route"])
+	require.EqualValues(t, 7, lines[0].ContextMap()["version"])
+	for range 1000 {
+		f.serve("/once/", "secret")
+	}
+	require.Less(t, f.logs.Len(), 200, "under load, most requests that succeed are counted only")
 }
 
 func TestNonIdempotentRequestsNeedMoreRecentConnections(t *testing.T) {
@@ -339,7 +347,7 @@
 	require.Equal(t, 1, f.logs.FilterMessage("request").FilterField(zap.String("id", "r-1")).Len())
 	f.respond = func(int) (forwarder.Response, error) { return okResponse(), nil }
 	require.Equal(t, http.StatusOK, f.serve("/once/", "secret").Code)
-	require.Equal(t, 1, f.logs.FilterMessage("request").Len(), "a request that succeeds is counted, not logged")
+	require.Equal(t, 1, f.logs.FilterMessage("request").Len(), "a request that succeeds has no line of a failure")
 }
 
 // TestRequestsAtLeavingInstancesAreLogged checks that the log tells which view sent a request to an instance that left.
@@ -499,3 +507,45 @@
 	}
 	require.Contains(t, <-third, "limited")
 }
+
+// Buffered bodies took as much memory as there were uploads at once.
+func TestUploadsTakeBoundedMemory(t *testing.T) {
+	f := newFixture()
+	f.receiver.MaxBodyMemory = 300 << 10
+	var finish []func()
+	for range 3 {
+		r, w := io.Pipe()
+		req := httptest.NewRequest(http.MethodPost, "/once/", r)
+		req.Host = "a"
+		req.Header.Set("Key", "secret")
+		done := make(chan struct{})
+		go func() {
+			f.receiver.ServeHTTP(httptest.NewRecorder(), req)
+			close(done)
+		}()
+		_, err := w.Write([]byte("x")) // Returns once the request has reserved its memory.
+		require.NoError(t, err)
+		finish = append(finish, func() {
+			go func() {
+				_, _ = w.Write(make([]byte, 100<<10))
+				_ = w.Close()
+			}()
+			<-done
+			_ = r.Close() // Nothing reads the rest of a streamed body: the stub of the sender does not.
+		})
+	}
+	require.Empty(t, f.sends)
+	streamed := 0
+	for _, finish := range finish {
+		finish()
+	}
+	for _, s := range f.sends {
+		if s.BodyRest != nil {
+			streamed++
+		}
+	}
+	require.Len(t, f.sends, 3)
+	require.Equal(t, 1, streamed, "there is memory for two")
+	f.serve("/once/", "secret")
+	require.Nil(t, f.sends[3].BodyRest, "memory is given back")
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"slices"
 	"strings"
 
 	iradix "github.com/hashicorp/go-immutable-radix/v2"
@@ -72,6 +73,19 @@
 	return r
 }
 
+// Matches returns all routes of a host whose prefix matches a path, the one with the longest prefix first.
+func (t *Table) Matches(host, path string) []*Route {
+	var rs []*Route
+	t.routes.Root().WalkPath(routeKey(hostname(host), path), func(_ []byte, r *Route) bool {
+		if strings.EqualFold(r.Host, hostname(host)) {
+			rs = append(rs, r)
+		}
+		return false
+	})
+	slices.Reverse(rs)
+	return rs
+}
+
 // hostname returns a host without its port.
 func hostname(host string) string {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 {
--- a/internal/runner/constants.go
+++ b/internal/runner/constants.go
@@ -16,6 +16,8 @@
 	finishFraction = 0.93
 	// idleConnFraction is the fraction of the file descriptors that idle connections to instances may use.
 	idleConnFraction = 0.25
+	// bodyMemoryFraction is the fraction of the memory limit that buffered request bodies may take.
+	bodyMemoryFraction = 0.125
 	// memoryLimitFraction is the fraction of the memory limit that is set as the soft limit of the Go runtime, near
 	// which garbage is collected more often.
 	memoryLimitFraction = 0.6
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -101,7 +101,7 @@
 	}
 	handler := receiver.New(receiver.Options{
 		HeaderNames: r.HeaderNames, Tracker: r.tracker, Admitter: r.relayer, Limiter: r.relayer, Picker: r.picker, Sender: r.forwarder, Observer: r.metrics,
-		MaxKeyAge: s.Bounds.MaxKeyAge, DrainTimeout: s.Bounds.DrainTimeout, Started: r.Clock.Now(), Draining: r.draining, Clock: r.Clock, Logger: r.Logger,
+		MaxKeyAge: s.Bounds.MaxKeyAge, DrainTimeout: s.Bounds.DrainTimeout, MaxBodyMemory: int64(bodyMemoryFraction * float64(s.Memory)), Started: r.Clock.Now(), Draining: r.draining, Clock: r.Clock, Logger: r.Logger,
 	})
 	r.frontend = newFrontend(callers, handler, r.limits)
 	peers, err := net.Listen("tcp", s.Peers.String())
