Do not sort the fleet's VMs for each exchange

Cause: each exchange of a follower changes the time at which its leader heard of it, and dropped the sorted list of all VMs.

Change: the list is sorted anew only if a VM, its role, its incarnation or its capacity changes. Times in the list are those of the last change; silence is judged by the exchanges.

TestMembersAreNotSortedAnewUnlessOneChanges fails before. By reading of the code; its share of a leader's processor time was not measured.

--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -49,7 +49,7 @@
 	// membersKnown is set once the store's list of VMs was read.
 	membersKnown bool
 	// sortedMembers are the members in order of address; nil after a change. The slice is never modified once it is
-	// set.
+	// set: a leader would sort it for each exchange, so the times in it are those of the last change of the member.
 	sortedMembers []Member
 	sequence      uint64
 	changed       chan struct{}
@@ -207,11 +207,13 @@
 		o = &member{}
 		t.members[m.Address] = o
 	}
-	t.sortedMembers = nil
 	previous := o.Role
 	if m.Capacity == 0 {
 		m.Capacity = o.Capacity
 	}
+	if changed || m.Capacity != o.Capacity {
+		t.sortedMembers = nil
+	}
 	o.Member = m
 	if changed {
 		o.sequence = t.recordChange()
@@ -238,7 +240,7 @@
 	return t.membersKnown
 }
 
-// Members returns the known VMs in order of address; callers must not change the slice.
+// Members returns the known VMs in order of address, as of their last changes; callers must not change the slice.
 func (t *Tracker) Members() []Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -431,3 +431,22 @@
 	_, a := tr.Ages()
 	require.Zero(t, a)
 }
+
+// A leader sorted all VMs of the fleet after each exchange with one of its followers.
+func TestMembersAreNotSortedAnewUnlessOneChanges(t *testing.T) {
+	tr, c := newTracker()
+	member := func(i byte, role tracker.Role) tracker.Member {
+		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, i}), 1)
+		return tracker.Member{VM: placer.VM{Address: a, Domain: "d", Incarnation: 1}, Role: role, Capacity: 1, AsOf: c.Now()}
+	}
+	tr.UpdateMember(member(1, tracker.RoleReady))
+	tr.UpdateMember(member(2, tracker.RoleReady))
+	before := tr.Members()
+	c.Advance(time.Second)
+	tr.UpdateMember(member(1, tracker.RoleReady))
+	require.Same(t, &before[0], &tr.Members()[0])
+	c.Advance(time.Second)
+	tr.UpdateMember(member(1, tracker.RoleDown))
+	require.Equal(t, tracker.RoleDown, tr.Members()[0].Role)
+	require.Equal(t, tracker.RoleReady, before[0].Role)
+}
