Let the soak send uploads, splits and requests ahead

The soak knew neither uploads nor split routes, and its callers sent one request at a time on a connection. It now sends all three, checks that a request runs only at a service of its route, and injects configurations with many routes, odd entries in the registry, and servers that write an answer or a refusal once more, late, on a connection that may be in use again.

--- a/cmd/soak/callers.go
+++ b/cmd/soak/callers.go
@@ -1,11 +1,13 @@
 package main
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -20,6 +22,8 @@
 	requestTimeout = 3 * time.Second
 	// addressTTL is how long callers use a list of addresses before they request a new one.
 	addressTTL = time.Second
+	// maxUploadRepeats is how often an upload repeats its text at most: up to some 500 KB.
+	maxUploadRepeats = 30_000
 	// callerPause is the mean pause between two requests of a caller.
 	callerPause = 30 * time.Millisecond
 )
@@ -62,6 +66,13 @@
 			account = "leaving"
 		case x < 0.8:
 			account, path = "", "/open/x"
+		case x < 0.86:
+			path = "/upload/x"
+		case x < 0.9:
+			path = "/split/x"
+		case x < 0.95:
+			c.sendAhead(d)
+			continue
 		}
 		c.send(d, account, path)
 	}
@@ -113,9 +124,8 @@
 func (c *caller) send(d *daemon, account, path string) {
 	c.sent++
 	id := fmt.Sprintf("%d-%d", c.number, c.sent)
-	idempotent := !strings.HasPrefix(path, "/once/")
 	process, _ := d.currentProcess()
-	c.fleet.checker.recordSent(id, account, idempotent, time.Now())
+	c.fleet.checker.recordSent(id, account, serviceOf(path), isIdempotent(path), time.Now())
 	got, err := c.do(d, id, account, path)
 	after, stopping := d.currentProcess()
 	if err != nil {
@@ -128,6 +138,61 @@
 	c.fleet.checker.recordAnswer(id, got.status, got.signature, got.body, process)
 }
 
+// serviceOf returns the service that runs the requests for a path; empty if there are several.
+func serviceOf(path string) string {
+	switch {
+	case strings.HasPrefix(path, "/upload/"):
+		return serviceArchive
+	case strings.HasPrefix(path, "/split/"):
+		return ""
+	}
+	return serviceLedger
+}
+
+func isIdempotent(path string) bool {
+	return !strings.HasPrefix(path, "/once/") && !strings.HasPrefix(path, "/upload/")
+}
+
+// sendAhead sends several idempotent requests on a connection before it reads the first answer. The answers must come in
+// the order of the requests.
+func (c *caller) sendAhead(d *daemon) {
+	conn, err := net.DialTimeout("tcp", d.callerAddress(), requestTimeout)
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(requestTimeout)) // Later calls fail if this one does.
+	process, _ := d.currentProcess()
+	var ids []string
+	var requests strings.Builder
+	for range 2 + c.random.IntN(3) {
+		c.sent++
+		id := fmt.Sprintf("%d-%d", c.number, c.sent)
+		ids = append(ids, id)
+		c.fleet.checker.recordSent(id, "large", serviceLedger, true, time.Now())
+		fmt.Fprintf(&requests, "GET /safe/x HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nX-Api-Key: key-large\r\nDeadline-Ms: %d\r\n\r\n",
+			host, id, requestTimeout.Milliseconds())
+	}
+	if _, err := io.WriteString(conn, requests.String()); err != nil {
+		return
+	}
+	for r, i := bufio.NewReader(conn), 0; i < len(ids); i++ {
+		rep, err := http.ReadResponse(r, nil)
+		if err != nil {
+			return
+		}
+		b, err := io.ReadAll(rep.Body)
+		_ = rep.Body.Close()
+		if err != nil {
+			return
+		}
+		c.fleet.checker.recordAnswer(ids[i], rep.StatusCode, rep.Header.Get("Server-Signature"), string(b), process)
+		if rep.Close {
+			return
+		}
+	}
+}
+
 // answer is the part of a response that the checker needs.
 type answer struct {
 	status          int
@@ -136,10 +201,17 @@
 
 // do sends a request and reads the complete response. It sets a forged Tenant header, which daemons must not pass on.
 func (c *caller) do(d *daemon, id, account, path string) (answer, error) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+d.callerAddress()+path, strings.NewReader("body of "+id))
+	body := "body of " + id
+	if strings.HasPrefix(path, "/upload/") {
+		body = strings.Repeat(body, 1+c.random.IntN(maxUploadRepeats))
+	}
+	req, err := http.NewRequest(http.MethodPost, "http://"+d.callerAddress()+path, strings.NewReader(body))
 	if err != nil {
 		return answer{}, err
 	}
+	if len(body)%2 == 1 {
+		req.ContentLength = -1 // The body is sent in chunks.
+	}
 	req.Host = host
 	req.Header.Set("Request-Id", id)
 	req.Header.Set("Deadline-Ms", fmt.Sprint(requestTimeout.Milliseconds()))
@@ -167,7 +239,7 @@
 		sentAt := time.Now()
 		c.sent++
 		id := fmt.Sprintf("%d-%d", c.number, c.sent)
-		f.checker.recordSent(id, "", true, sentAt)
+		f.checker.recordSent(id, "", serviceLedger, true, sentAt)
 		got, err := c.do(d, id, "", "/"+versionRoute(v)+"/")
 		if err != nil {
 			continue
--- a/cmd/soak/checker.go
+++ b/cmd/soak/checker.go
@@ -27,6 +27,7 @@
 	guaranteePlannedStop          guarantee = "a planned stop interrupts no request"
 	guaranteeRecovery             guarantee = "all daemons are ready again after the faults"
 	guaranteeLimit                guarantee = "a backend server gets no more requests than the limit that it states allows"
+	guaranteeRoute                guarantee = "a request runs only at a service of its route"
 	guaranteeAllowed              guarantee = "a request that every configuration allows is not denied"
 )
 
@@ -56,7 +57,9 @@
 
 // request is the state of a caller's request.
 type request struct {
-	account    string
+	account string
+	// service is the only service that may run the request; any may if it is empty.
+	service    string
 	idempotent bool
 	sentAt     time.Time
 	refused    bool
@@ -100,14 +103,14 @@
 }
 
 // recordSent records a request. It is called before the request is sent.
-func (c *checker) recordSent(id, account string, idempotent bool, at time.Time) {
+func (c *checker) recordSent(id, account, service string, idempotent bool, at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.requests[id] = &request{account: account, idempotent: idempotent, sentAt: at}
+	c.requests[id] = &request{account: account, service: service, idempotent: idempotent, sentAt: at}
 }
 
 // recordRun records that a backend server started to run a request.
-func (c *checker) recordRun(id, account, key, server string, at time.Time) {
+func (c *checker) recordRun(id, account, key, server, service string, at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.requests[id]
@@ -122,6 +125,9 @@
 	if account != r.account {
 		c.addViolation(guaranteeAccount, "%s ran for account %q, but its key belongs to %q", id, account, r.account)
 	}
+	if r.service != "" && service != r.service {
+		c.addViolation(guaranteeRoute, "%s ran at %s of service %q", id, server, service)
+	}
 	if r.runs > 1 && !r.idempotent {
 		c.addViolation(guaranteeAtMostOnce, "%s ran %d times, last at %s", id, r.runs, server)
 	}
--- a/cmd/soak/checker_test.go
+++ b/cmd/soak/checker_test.go
@@ -18,50 +18,51 @@
 		keeps     func(c *checker)
 	}{
 		{guaranteeAtMostOnce, func(c *checker) {
-			c.recordRun("once", "a", "", "i", start)
-			c.recordRun("once", "a", "", "i", start)
+			c.recordRun("once", "a", "", "i", "ledger", start)
+			c.recordRun("once", "a", "", "i", "ledger", start)
 		}, func(c *checker) {
-			c.recordRun("safe", "a", "", "i", start)
-			c.recordRun("safe", "a", "", "i", start)
+			c.recordRun("safe", "a", "", "i", "ledger", start)
+			c.recordRun("safe", "a", "", "i", "ledger", start)
 		}},
 		{guaranteeOwnAnswer, func(c *checker) { c.recordAnswer("safe", 200, "sig-once", "", "p") }, func(c *checker) { c.recordAnswer("safe", 200, "sig-safe", "", "p") }},
 		{guaranteeNotRun, func(c *checker) {
-			c.recordRun("once", "a", "", "i", start)
+			c.recordRun("once", "a", "", "i", "ledger", start)
 			c.recordAnswer("once", 503, "", "", "p")
 		}, func(c *checker) {
-			c.recordRun("once", "a", "", "i", start)
+			c.recordRun("once", "a", "", "i", "ledger", start)
 			c.recordAnswer("once", 502, "", "", "p")
 		}},
 		{guaranteeNotRun, func(c *checker) {
 			c.recordAnswer("once", 429, "", "", "p")
-			c.recordRun("once", "a", "", "i", start)
+			c.recordRun("once", "a", "", "i", "ledger", start)
 		}, func(c *checker) { c.recordAnswer("once", 429, "", "", "p") }},
-		{guaranteeKeyHidden, func(c *checker) { c.recordRun("safe", "a", "key", "i", start) }, func(c *checker) { c.recordRun("safe", "a", "", "i", start) }},
-		{guaranteeAccount, func(c *checker) { c.recordRun("safe", "b", "", "i", start) }, func(c *checker) { c.recordRun("safe", "a", "", "i", start) }},
-		{guaranteeSentOnly, func(c *checker) { c.recordRun("nobody's", "a", "", "i", start) }, func(c *checker) { c.recordRun("safe", "a", "", "i", start) }},
+		{guaranteeRoute, func(c *checker) { c.recordRun("safe", "a", "", "i", "archive", start) }, func(c *checker) { c.recordRun("safe", "a", "", "i", "ledger", start) }},
+		{guaranteeKeyHidden, func(c *checker) { c.recordRun("safe", "a", "key", "i", "ledger", start) }, func(c *checker) { c.recordRun("safe", "a", "", "i", "ledger", start) }},
+		{guaranteeAccount, func(c *checker) { c.recordRun("safe", "b", "", "i", "ledger", start) }, func(c *checker) { c.recordRun("safe", "a", "", "i", "ledger", start) }},
+		{guaranteeSentOnly, func(c *checker) { c.recordRun("nobody's", "a", "", "i", "ledger", start) }, func(c *checker) { c.recordRun("safe", "a", "", "i", "ledger", start) }},
 		{guaranteeKeyWithdrawn, func(c *checker) {
 			c.recordWithdrawal("a", at(-revocationBound-time.Second))
-			c.recordRun("safe", "a", "", "i", start)
+			c.recordRun("safe", "a", "", "i", "ledger", start)
 		}, func(c *checker) {
 			c.recordWithdrawal("a", at(-revocationBound+time.Second))
-			c.recordRun("safe", "a", "", "i", start)
+			c.recordRun("safe", "a", "", "i", "ledger", start)
 		}},
 		{guaranteeRate, func(c *checker) { c.recordRuns("a", 87, start) }, func(c *checker) { c.recordRuns("a", 86, start) }},
 		{guaranteeDrain, func(c *checker) {
 			c.recordLeaving("i", at(0))
-			c.recordRun("safe", "a", "", "i", at(drainBound+time.Millisecond))
+			c.recordRun("safe", "a", "", "i", "ledger", at(drainBound+time.Millisecond))
 		}, func(c *checker) {
 			c.recordLeaving("i", at(0))
-			c.recordRun("safe", "a", "", "i", at(drainBound))
+			c.recordRun("safe", "a", "", "i", "ledger", at(drainBound))
 		}},
 		{guaranteeDrain, func(c *checker) {
 			c.recordLeaving("i", at(-time.Hour))
 			c.recordDisturbance(at(0))
-			c.recordRun("safe", "a", "", "i", at(settleTime+time.Millisecond))
+			c.recordRun("safe", "a", "", "i", "ledger", at(settleTime+time.Millisecond))
 		}, func(c *checker) {
 			c.recordLeaving("i", at(-time.Hour))
 			c.recordDisturbance(at(0))
-			c.recordRun("safe", "a", "", "i", at(settleTime))
+			c.recordRun("safe", "a", "", "i", "ledger", at(settleTime))
 		}},
 		{guaranteeLimit, func(c *checker) {
 			c.recordLimit("i", 2, start)
@@ -86,7 +87,7 @@
 			c.recordUse("p after its restart", 2, 404, 0, false)
 		}},
 		{guaranteePlannedStop, func(c *checker) {
-			c.recordRun("once", "a", "", "i", start)
+			c.recordRun("once", "a", "", "i", "ledger", start)
 			c.recordInterrupted("once", "p")
 		}, func(c *checker) { c.recordInterrupted("once", "p") }},
 		{guaranteeRecovery, func(c *checker) { c.recordNotReady("p") }, func(*checker) {}},
@@ -97,8 +98,8 @@
 	} {
 		check := func(f func(c *checker)) []string {
 			c := newChecker(map[string]float64{"a": 10})
-			c.recordSent("safe", "a", true, start)
-			c.recordSent("once", "a", false, start)
+			c.recordSent("safe", "a", "ledger", true, start)
+			c.recordSent("once", "a", "ledger", false, start)
 			f(c)
 			return c.report(true)
 		}
@@ -113,8 +114,8 @@
 func (c *checker) recordRuns(account string, n int, at time.Time) {
 	for i := range n {
 		id := string(rune('a'+i/26)) + string(rune('a'+i%26))
-		c.recordSent(id, account, true, at)
-		c.recordRun(id, account, "", "i", at)
+		c.recordSent(id, account, "ledger", true, at)
+		c.recordRun(id, account, "", "i", "ledger", at)
 	}
 }
 
--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"syscall"
 	"time"
 
@@ -29,6 +30,8 @@
 	// time until the operator writes the configuration again.
 	maxCopyAge        = 8 * time.Second
 	maxRepublishDelay = 300 * time.Millisecond
+	// maxUnusedRoutes is the upper bound of the number of routes that no caller uses.
+	maxUnusedRoutes = 3000
 	// maxConcurrentFaults is the maximum number of faults that are active at the same time.
 	maxConcurrentFaults = 3
 )
@@ -172,6 +175,31 @@
 		}
 		return noop, fmt.Sprint(n)
 	}},
+	{"many routes", false, func(f *fleet, r *rand.Rand) (func(), string) {
+		n := r.IntN(maxUnusedRoutes)
+		f.mu.Lock()
+		f.unusedRoutes = n
+		f.mu.Unlock()
+		f.publishConfiguration()
+		return noop, fmt.Sprint(n)
+	}},
+	{"odd registration", false, func(f *fleet, r *rand.Rand) (func(), string) {
+		entry := oddEntries[r.IntN(len(oddEntries))]
+		id := fmt.Sprint("odd-", f.oddEntries.Add(1))
+		f.store.Put(topicRegistry, id, []byte(entry))
+		return func() { f.store.Put(topicRegistry, id, nil) }, entry[:min(len(entry), 60)]
+	}},
+	{"server repeats answers", false, func(f *fleet, r *rand.Rand) (func(), string) {
+		s := f.randomServer(r)
+		s.mu.Lock()
+		s.copyShare, s.shedShare = 1, r.Float64()/2
+		s.mu.Unlock()
+		return func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.copyShare, s.shedShare = 0, 0
+		}, s.ID
+	}},
 	{"key withdrawn", false, func(f *fleet, _ *rand.Rand) (func(), string) {
 		f.mu.Lock()
 		f.keys["leaving"] = []string{}
@@ -182,6 +210,15 @@
 	}},
 }
 
+// oddEntries are entries of the registry that name no server to use.
+var oddEntries = []string{
+	"", "\xff\xfe", "null", "[]", `{"Address":1}`, strings.Repeat("[", 100_000),
+	`{"Address":"127.0.0.1:70000","ServerInfo":{"Service":"ledger","Zone":"a","Slots":4},"Status":{"State":"ready","SequenceNumber":1}}`,
+	`{"Address":"127.0.0.1:0","ServerInfo":{"Service":"ledger","Zone":"a","Slots":4},"Status":{"State":"ready","SequenceNumber":1}}`,
+	`{"Address":"127.0.0.1:9","ServerInfo":{"Service":"ledger","Zone":"a","Slots":1e400},"Status":{"State":"ready","SequenceNumber":1}}`,
+	`{"Address":"127.0.0.1:9","ServerInfo":{"Service":"` + strings.Repeat("x", 1<<20) + `","Zone":"a","Slots":4},"Status":{"State":"ready","SequenceNumber":1}}`,
+}
+
 func (f *fleet) randomDaemon(r *rand.Rand) *daemon { return f.daemons[r.IntN(len(f.daemons))] }
 func (f *fleet) randomServer(r *rand.Rand) *server { return f.servers[r.IntN(len(f.servers))] }
 
--- a/cmd/soak/fleet.go
+++ b/cmd/soak/fleet.go
@@ -24,7 +24,10 @@
 	topicConfiguration = "keyed.op"
 	topicRegistry      = "keyed.servers"
 	host               = "soak.example"
-	heartbeatInterval  = 1500 * time.Millisecond
+	// The services. Uploads go to the archive, split requests to both, and all others to the ledger.
+	serviceLedger     = "ledger"
+	serviceArchive    = "archive"
+	heartbeatInterval = 1500 * time.Millisecond
 	// maxWorkTime bounds the random time that a request takes at a backend server that is not slow.
 	maxWorkTime = 60 * time.Millisecond
 )
@@ -109,6 +112,8 @@
 	*emulator.Instance
 	proxy  *proxy
 	domain string
+	// service is the service that the server belongs to.
+	service string
 
 	mu    sync.Mutex
 	state string
@@ -116,11 +121,13 @@
 	startMs    int64
 	heartbeats int64
 	// failShare, shedShare, hangShare and cutShare are the shares of requests that end with an error, are refused, get no
-	// answer or get a truncated one. extraDelay is added to the time of each request.
+	// answer or get a truncated one, and copyShare of those whose answer or refusal is sent once more, late. extraDelay is
+	// added to the time of each request.
 	failShare  float64
 	shedShare  float64
 	hangShare  float64
 	cutShare   float64
+	copyShare  float64
 	extraDelay time.Duration
 }
 
@@ -135,6 +142,10 @@
 	version int
 	// keys are the API keys of each client account.
 	keys map[string][]string
+	// unusedRoutes is the number of routes in the configuration that no caller uses.
+	unusedRoutes int
+	// oddEntries counts the entries of the registry that another writer left.
+	oddEntries atomic.Int64
 	// leaves counts the servers that left; every second one does not announce it.
 	leaves atomic.Int64
 	// acceptedAt is when the newest configuration was accepted.
@@ -199,7 +210,10 @@
 	if err != nil {
 		return err
 	}
-	s := &server{Instance: in, proxy: p, domain: failureDomains[i%len(failureDomains)], state: "ready", startMs: time.Now().UnixMilli()}
+	s := &server{Instance: in, proxy: p, domain: failureDomains[i%len(failureDomains)], service: serviceLedger, state: "ready", startMs: time.Now().UnixMilli()}
+	if i%4 == 3 {
+		s.service = serviceArchive
+	}
 	r := rand.New(rand.NewPCG(seed, 1))
 	in.SetBehavior(func(c net.Conn, req *http.Request, in *emulator.Instance) { f.serve(s, r, c, req, in) })
 	f.servers = append(f.servers, s)
@@ -211,15 +225,20 @@
 func (f *fleet) serve(s *server, r *rand.Rand, c net.Conn, req *http.Request, in *emulator.Instance) {
 	s.mu.Lock()
 	x, work := r.Float64(), s.extraDelay+time.Duration(r.Int64N(int64(maxWorkTime)))
-	fail, shed, hang, cutting := s.failShare, s.shedShare, s.hangShare, s.cutShare
+	fail, shed, hang, cutting, copied := s.failShare, s.shedShare, s.hangShare, s.cutShare, r.Float64() < s.copyShare
+	late := time.Duration(r.Int64N(int64(maxWorkTime)))
 	s.mu.Unlock()
 	f.checker.recordArrival(s.ID, time.Now())
-	if x < shed {
+	switch {
+	case x < shed && copied:
+		emulator.Late(emulator.Refuse, late)(c, req, in)
+		return
+	case x < shed:
 		emulator.Shed(c, req, in)
 		return
 	}
 	id := req.Header.Get("Request-Id")
-	f.checker.recordRun(id, req.Header.Get("Tenant"), req.Header.Get("X-Api-Key"), s.ID, time.Now())
+	f.checker.recordRun(id, req.Header.Get("Tenant"), req.Header.Get("X-Api-Key"), s.ID, s.service, time.Now())
 	time.Sleep(work)
 	switch {
 	case x < shed+fail:
@@ -228,6 +247,8 @@
 		emulator.Hang(c, req, in)
 	case x < shed+fail+hang+cutting:
 		emulator.Truncate(c, req, in)
+	case copied:
+		emulator.Late(emulator.Answer, late)(c, req, in)
 	default:
 		emulator.Answer(c, req, in)
 	}
@@ -246,7 +267,7 @@
 	}
 	s.heartbeats++
 	f.store.Register(s.ID, emulator.Heartbeat{
-		Address: s.proxy.listener.Addr().String(), Service: "ledger", FailureDomain: s.domain, State: s.state, Slots: 8, SequenceNumber: s.heartbeats, StartedAtMs: s.startMs,
+		Address: s.proxy.listener.Addr().String(), Service: s.service, FailureDomain: s.domain, State: s.state, Slots: 8, SequenceNumber: s.heartbeats, StartedAtMs: s.startMs,
 	})
 }
 
@@ -279,11 +300,15 @@
 	route := func(name, kind string, open bool) map[string]any {
 		return map[string]any{"ResourceKind": "Routes", "Metadata": map[string]string{"Name": name}, "Specification": map[string]any{
 			"Host": host, "PathPrefix": "/" + name + "/", "Kind": kind, "TimeoutS": 2, "TargetLatencyS": 0.5, "Attempts": 2,
-			"Service": "ledger", "Public": open,
+			"Service": serviceLedger, "Public": open,
 		}}
 	}
+	upload, split := route("upload", "upload", false), route("split", "safe", false)
+	upload["Specification"].(map[string]any)["Service"] = serviceArchive
+	delete(split["Specification"].(map[string]any), "Service")
+	split["Specification"].(map[string]any)["TrafficSplit"] = []map[string]any{{"Service": serviceLedger, "Weight": 3}, {"Service": serviceArchive, "Weight": 1}}
 	rs := []any{
-		route("safe", "safe", false), route("once", "non_idempotent", false), route("open", "safe", true),
+		route("safe", "safe", false), route("once", "non_idempotent", false), route("open", "safe", true), upload, split,
 		map[string]any{"ResourceKind": "Limits", "Metadata": map[string]string{}, "Specification": map[string]any{
 			"MaxHeaderBytes": 16384, "MaxBodyBytes": 1 << 20, "HeaderTimeoutS": 3, "IdleTimeoutS": 15,
 		}},
@@ -291,6 +316,9 @@
 	for v := 1; v <= f.version; v++ {
 		rs = append(rs, route(versionRoute(v), "safe", true))
 	}
+	for i := range f.unusedRoutes {
+		rs = append(rs, route(fmt.Sprint("unused", i), "safe", true))
+	}
 	for a, limit := range accounts {
 		rs = append(rs, map[string]any{"ResourceKind": "Tenants", "Metadata": map[string]string{"Name": a}, "Specification": map[string]any{
 			"ApiKeys": f.keys[a], "RatePerS": limit, "Burst": limit,
--- a/cmd/standin/emulator/instance.go
+++ b/cmd/standin/emulator/instance.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -181,6 +182,33 @@
 	Answer(c, r, i)
 }
 
+// Late returns a behavior that responds and, after a delay, writes the same response once more on the connection, which may
+// carry another request by then. Answers and refusals name the request that they belong to.
+func Late(b Behavior, delay time.Duration) Behavior {
+	return func(c net.Conn, r *http.Request, i *Instance) {
+		k := &copiedConn{Conn: c}
+		b(k, r, i)
+		time.AfterFunc(delay, func() { _, _ = c.Write(k.written) })
+	}
+}
+
+// copiedConn keeps a copy of what is written to it.
+type copiedConn struct {
+	net.Conn
+	written []byte
+}
+
+func (c *copiedConn) Write(b []byte) (int, error) {
+	c.written = append(c.written, b...)
+	return c.Conn.Write(b)
+}
+
+// Refuse rejects the request with 503 and does not execute it, as Shed does, and names the request in the response.
+func Refuse(c net.Conn, r *http.Request, i *Instance) {
+	i.rejectLast()
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Request-Id"))
+}
+
 // Endless returns a behavior that executes the request, sends a start that may name the request's ID as %s, and then
 // repeats a piece until the client closes the connection.
 func Endless(start, piece string) Behavior {
