Let a leader's cost for a follower not grow with its other followers

Cause: for each full report to one follower, a leader added up the loads that all of its followers had sent; and for each exchange it went, twice, through all instances, VMs and limits to find those that had changed. With 85 followers, 443 VMs and 540 instances that is quadratic in the followers, and grows with instances times followers.

Change: sums of loads change by the difference of each report, and the changes are kept in a log in order of their sequence numbers, so that what a follower lacks is found in it.

--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"maps"
 	"net/netip"
 	"time"
 
@@ -166,9 +165,7 @@
 	if !hasLoads {
 		return
 	}
-	r.mu.Lock()
-	r.peerLoads[from] = loadReport{decodeLoads(b.GetLoads()), r.Clock.Now()}
-	r.mu.Unlock()
+	r.peerLoads.set(from, loadReport{decodeLoads(b.GetLoads()), r.Clock.Now(), true})
 	r.InstanceStats.SetPeerInFlight(r.inFlightExcept(r.Self.Address, true))
 }
 
@@ -202,20 +199,10 @@
 // inFlightExcept returns the number of requests in flight at each instance, summed over this VM and the VMs that report
 // to it, but without one of them. withLeaders says whether reports of other domains' leaders are included.
 func (r *Relayer) inFlightExcept(except netip.AddrPort, withLeaders bool) map[string]int {
-	sum := map[string]int{}
+	r.peerLoads.expire(r.Clock.Now().Add(-outboxTTL))
+	sum := r.peerLoads.except(except, withLeaders)
 	if except != r.Self.Address {
-		maps.Copy(sum, r.InstanceStats.InFlight())
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := r.Clock.Now()
-	for a, l := range r.peerLoads {
-		b := r.outboxes[a]
-		_, own := r.lastExchange[a]
-		if a == except || now.Sub(l.receivedAt) > outboxTTL || !withLeaders && (b != nil && b.leader || !own) {
-			continue
-		}
-		for i, n := range l.inFlight {
+		for i, n := range r.InstanceStats.InFlight() {
 			sum[i] += n
 		}
 	}
@@ -238,11 +225,11 @@
 	b.leader, b.usedAt = m.GetLeader(), began
 	if !m.GetLeader() {
 		r.lastExchange[from.Address] = began
-		if m.GetLoadsKnown() {
-			r.peerLoads[from.Address] = loadReport{decodeLoads(m.GetLoads()), began}
-		}
 	}
 	r.mu.Unlock()
+	if !m.GetLeader() && m.GetLoadsKnown() {
+		r.peerLoads.set(from.Address, loadReport{decodeLoads(m.GetLoads()), began, false})
+	}
 	r.distribute(from.Address, false, m.GetSeen())
 	r.Tracker.MergeLimits(from.Address.String(), fromLimits(began, began, m.GetLimits()))
 	sequence := m.GetSequence()
--- a/internal/relayer/loops.go
+++ b/internal/relayer/loops.go
@@ -160,7 +160,6 @@
 	for a, b := range r.outboxes {
 		if now.Sub(b.usedAt) > outboxTTL {
 			delete(r.outboxes, a)
-			delete(r.peerLoads, a)
 		}
 	}
 }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -70,7 +70,7 @@
 	// reportedInstances is the number of instances in the last full report.
 	reportedInstances int
 	// peerLoads are the numbers of requests that peers have in flight at the instances.
-	peerLoads map[netip.AddrPort]loadReport
+	peerLoads *loads
 	reportCh  chan struct{}
 	cursors   map[netip.AddrPort]cursor
 	// domainsLive is the number of live VMs in each of the other failure domains, as their leaders reported it.
@@ -96,11 +96,6 @@
 	wake                   chan struct{}
 }
 
-type loadReport struct {
-	inFlight   map[string]int
-	receivedAt time.Time
-}
-
 // cursor is the position up to which this VM has the changes of a peer.
 type cursor struct {
 	incarnation uint64
@@ -115,7 +110,7 @@
 func New(o Options) *Relayer {
 	r := &Relayer{
 		Options: o, startedAt: o.Clock.Now(), suspects: map[netip.AddrPort]time.Time{}, staleLeaders: map[netip.AddrPort]time.Time{}, lastExchange: map[netip.AddrPort]time.Time{}, outgoing: outbox{},
-		outboxes: map[netip.AddrPort]*peerOutbox{}, peerLoads: map[netip.AddrPort]loadReport{}, reportCh: make(chan struct{}, 1),
+		outboxes: map[netip.AddrPort]*peerOutbox{}, peerLoads: newLoads(), reportCh: make(chan struct{}, 1),
 		cursors: map[netip.AddrPort]cursor{}, domainsLive: map[string]liveCount{},
 		reads: map[string]float64{}, decisions: map[string]float64{}, limitDecisions: map[string]float64{},
 	}
--- a/internal/tracker/instances.go
+++ b/internal/tracker/instances.go
@@ -100,7 +100,7 @@
 		// Peers that know the instance must learn that it left.
 		r = &record{Entry: e, endedBefore: e.Offset + 1, goneAt: t.clock.Now()}
 		r.Offset = 0
-		r.sequence = t.recordChange()
+		t.markRecord(r)
 		t.records[e.ID] = r
 		return false
 	}
@@ -140,7 +140,7 @@
 		previous.Domain == e.Domain && previous.Slots == e.Slots && previous.Incarnation == e.Incarnation
 	// The registry has each report, but a relayed one may follow others that peers of this VM know.
 	if !unchanged || !own {
-		r.sequence = t.recordChange()
+		t.markRecord(r)
 	}
 	if unchanged {
 		return false
@@ -158,7 +158,7 @@
 	previous := r.condition()
 	if previous == ConditionGone {
 		if e.Offset >= r.endedBefore {
-			r.sequence = t.recordChange()
+			t.markRecord(r)
 		}
 		r.end(e)
 		return false
@@ -169,7 +169,7 @@
 	}
 	now := t.clock.Now()
 	r.goneAt = now
-	r.sequence = t.recordChange()
+	t.markRecord(r)
 	if previous == ConditionReady && now.Before(t.graceUntil) {
 		r.expiresAt = earlier(t.graceUntil, now.Add(maxLapsedUse))
 		t.logger.Info("registration lapsed", append(from.fields(r.ID), zap.String("offset", formatOffset(e.Offset)), zap.Duration("grace", r.expiresAt.Sub(now)))...)
@@ -234,7 +234,7 @@
 	if changed {
 		r.end(endedAt(id, r.Offset))
 		r.goneAt, r.expiresAt = t.clock.Now(), time.Time{}
-		r.sequence = t.recordChange()
+		t.markRecord(r)
 		t.logger.Info("instance moved", zap.String("id", id))
 	}
 	t.countChange(changed)
--- a/internal/tracker/limits.go
+++ b/internal/tracker/limits.go
@@ -79,7 +79,7 @@
 	} else if !l.supersedes(known.Limit) {
 		if l.Rate != known.Rate {
 			// The peer must learn the later statement.
-			known.sequence = t.recordChange()
+			t.markLimit(known)
 			if known.observedSequence > 0 {
 				known.observedSequence = known.sequence
 			}
@@ -91,7 +91,7 @@
 	if before == l.Rate {
 		return false
 	}
-	known.sequence = t.recordChange()
+	t.markLimit(known)
 	t.countChange(true)
 	t.logger.Info("instance limit", zap.String("id", l.Instance), zap.String("source", source), zap.Float64("rate", l.Rate),
 		zap.Float64("before", before))
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -52,6 +52,7 @@
 	// set: a leader would sort it for each exchange, so the times in it are those of the last change of the member.
 	sortedMembers []Member
 	sequence      uint64
+	log           changeLog
 	changed       chan struct{}
 	// viewed is closed when the view of the instances is confirmed again, or a read of the registry failed.
 	viewed chan struct{}
@@ -216,7 +217,7 @@
 	}
 	o.Member = m
 	if changed {
-		o.sequence = t.recordChange()
+		t.markMember(o)
 		t.logger.Info("vm", zap.Stringer("peer", m.Address), zap.Stringer("role", m.Role), zap.Stringer("before", previous),
 			zap.String("failureDomain", m.Domain), zap.Uint64("incarnation", m.Incarnation))
 	}
@@ -292,20 +293,11 @@
 	if t.table != nil && t.tableSeq > sequence {
 		c.Table = t.table
 	}
-	for _, r := range t.records {
-		if c.Complete || r.sequence > sequence {
+	if c.Complete {
+		for _, r := range t.records {
 			c.Entries = append(c.Entries, r.current())
 		}
 	}
-	for _, m := range t.members {
-		if m.sequence > sequence {
-			c.Members = append(c.Members, m.Member)
-		}
-	}
-	for _, l := range t.limits {
-		if l.sequence > sequence {
-			c.Limits = append(c.Limits, l.Limit)
-		}
-	}
+	t.appendChanges(&c, sequence)
 	return c, t.changed
 }
