Fuzz the decoders of the platform and of peers' messages

Each decoder of what other programs write has a fuzz test of Go's own: configurations, registrations, responses of the store, and what peers send.

--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,14 @@
 	go test -run XXX -bench . -benchmem ./pkg/... ./internal/...
 	bash scripts/bench.sh
 
+# FUZZTIME is the time for each fuzz test; "make test" runs their corpora.
+FUZZTIME ?= 20s
+fuzz:
+	go test ./platform -run XXX -fuzz FuzzDecodeConfiguration -fuzztime $(FUZZTIME)
+	go test ./platform -run XXX -fuzz FuzzDecodeRegistration -fuzztime $(FUZZTIME)
+	go test ./platform -run XXX -fuzz FuzzDecodeRecords -fuzztime $(FUZZTIME)
+	go test ./internal/relayer -run XXX -fuzz FuzzMessagesOfPeers -fuzztime $(FUZZTIME)
+
 demo: build
 	bash scripts/demo.sh
 	bash scripts/gateway.sh
@@ -41,4 +49,4 @@
 clean:
 	rm -rf bin .demo
 
-.PHONY: all build test lint generate measure soak soak-short bench demo clean
+.PHONY: all build test lint generate measure soak soak-short fuzz bench demo clean
