Remember which VMs hold the soft roles; touch only loads that changed

Cause, by a profile of 40 idle VMs that know 540 instances and 443 VMs: each look at who leads a domain or owns a rate, some 60 a second and one for each request, listed all VMs of the fleet, 49 KB each, and the collector ran after it. Each report of loads went through all instances with two lookups, and each VM looked every 0.1 s for registrations that expire.

Change: roles are looked up in an order that is computed once for a list of VMs, owners are remembered with it, only loads that are reported or end are set, and expiry runs only while a registration has ended.

--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -51,6 +51,8 @@
 	instanceService map[string]*service
 	addresses       map[netip.AddrPort]bool
 	latencies       map[string]time.Duration
+	// peerInFlight is what SetPeerInFlight was called with last.
+	peerInFlight map[string]int
 }
 
 type service struct {
@@ -216,9 +218,20 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.Clock.Now()
-	for id, h := range p.instanceService {
-		h.balancer.SetPeerInFlight(now, id, inFlight[id])
+	set := func(id string, n int) {
+		if s := p.instanceService[id]; s != nil {
+			s.balancer.SetPeerInFlight(now, id, n)
+		}
+	}
+	for id := range p.peerInFlight {
+		if inFlight[id] == 0 {
+			set(id, 0)
+		}
+	}
+	for id, n := range inFlight {
+		set(id, n)
 	}
+	p.peerInFlight = inFlight
 }
 
 // InFlight implements relayer.InstanceStats.
--- a/internal/picker/picker_test.go
+++ b/internal/picker/picker_test.go
@@ -151,3 +151,23 @@
 	require.Positive(t, trials(20, time.Second))
 	require.Positive(t, trials(0, 1500*time.Millisecond))
 }
+
+// Loads of instances that the next report lacks have ended.
+func TestPeerLoadsEndWithTheNextReport(t *testing.T) {
+	p := picker.New(picker.Options{
+		Domain: "d", Random: rand.New(rand.NewPCG(1, 1)), Clock: clockwork.NewFakeClock(), RetryRatio: 0.2, RetrySlack: 10, RetryWindow: 10 * time.Second,
+		VMCount: func() int { return 1 },
+	})
+	p.SetInstances([]balancer.Instance{{ID: "a", Service: "s", Domain: "d", Slots: 1}, {ID: "b", Service: "s", Domain: "d", Slots: 1}})
+	load := func() map[string]int {
+		n := map[string]int{}
+		for _, j := range p.Judgements()["s"] {
+			n[j.ID] = j.Load
+		}
+		return n
+	}
+	p.SetPeerInFlight(map[string]int{"a": 3, "unknown": 1})
+	require.Equal(t, map[string]int{"a": 3, "b": 0}, load())
+	p.SetPeerInFlight(map[string]int{"b": 1})
+	require.Equal(t, map[string]int{"a": 0, "b": 1}, load())
+}
--- a/internal/relayer/limits.go
+++ b/internal/relayer/limits.go
@@ -74,11 +74,13 @@
 // limitOwner returns the VM that counts the requests to an instance: one of the instance's failure domain if there is any,
 // since most requests come from there.
 func (r *Relayer) limitOwner(instance, domain string) (placer.VM, bool) {
-	key := "limit/" + instance
-	if o, ok := placer.First(key, r.candidates(func(m tracker.Member) bool { return m.Domain == domain })); ok {
-		return o, true
+	key, p := "limit/"+instance, r.placement()
+	if domain != "" {
+		if o, ok := p.owner(key, domain); ok {
+			return o, true
+		}
 	}
-	return placer.First(key, r.candidates(func(tracker.Member) bool { return true }))
+	return p.owner(key, "")
 }
 
 // handleTakeSend decides on a request of a peer to an instance whose limit this VM owns. The peer may know a later limit.
--- a/internal/relayer/loops.go
+++ b/internal/relayer/loops.go
@@ -400,12 +400,11 @@
 			continue
 		}
 		domains[m.Domain] = true
-		l, ok := placer.First("leader/"+m.Domain, r.candidates(func(o tracker.Member) bool {
-			return o.Domain == m.Domain && o.Address != r.Self.Address
-		}))
-		if !ok {
+		cs := slices.DeleteFunc(slices.Clone(r.placement().leaderOrder(m.Domain)), func(c placer.Candidate) bool { return c.Address == r.Self.Address })
+		if len(cs) == 0 {
 			continue
 		}
+		l := cs[0].VM
 		g.Go(func() {
 			err := r.exchange(ctx, l, 0, l.Domain != r.Self.Domain)
 			if err == nil {
--- a/internal/relayer/rates.go
+++ b/internal/relayer/rates.go
@@ -59,7 +59,7 @@
 // owner returns the VM that holds an account's bucket. All VMs that know the same members agree on it: an owner that
 // this VM suspects may still answer others, so it remains the owner until its domain's leader marks it down.
 func (r *Relayer) owner(account string) (placer.VM, bool) {
-	return placer.First("rate/"+account, r.candidates(func(tracker.Member) bool { return true }))
+	return r.placement().owner("rate/"+account, "")
 }
 
 // TryAdmit takes a token of an account if one is available at once.
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
@@ -51,6 +50,10 @@
 	transfers *transfers
 	startedAt time.Time
 
+	// placed is the last placement, and placementMu guards it.
+	placementMu sync.Mutex
+	placed      *placement
+
 	mu   sync.Mutex
 	role tracker.Role
 	// suspects holds the peers that did not answer, and until when they are skipped.
@@ -209,20 +212,6 @@
 	return r.Clock.Now().Before(r.suspects[a])
 }
 
-// candidates returns the VMs that may hold a soft role and for which keep returns true, weighted by capacity.
-func (r *Relayer) candidates(keep func(tracker.Member) bool) []placer.Candidate {
-	ms := r.Tracker.Members()
-	cs := make([]placer.Candidate, 0, len(ms))
-	for _, m := range ms {
-		self := m.Address == r.Self.Address
-		if m.Role == tracker.RoleDown && !self || m.Role == tracker.RoleLeaving || !keep(m) {
-			continue
-		}
-		cs = append(cs, placer.Candidate{VM: m.VM, Weight: m.Capacity})
-	}
-	return cs
-}
-
 // leader returns the leader of a domain, which reads the store for it; ok is false if no candidate is known.
 func (r *Relayer) leader(domain string) (placer.VM, bool) {
 	return r.firstLeader(domain, r.acceptsAsLeader)
@@ -237,16 +226,21 @@
 
 // firstLeader returns the first VM of a domain in rendezvous order that is this VM or accepted as a leader. Only VMs with
 // much capacity are considered, since all others of the domain exchange with the leader.
-func (r *Relayer) firstLeader(domain string, accepts func(netip.AddrPort) bool) (placer.VM, bool) {
-	cs := r.candidates(func(m tracker.Member) bool {
-		return m.Domain == domain && (m.Address == r.Self.Address || accepts(m.Address))
-	})
+func (r *Relayer) firstLeader(domain string, accepts func(netip.AddrPort) bool) (vm placer.VM, ok bool) {
+	cs := r.placement().leaderOrder(domain)
+	accepted := func(c placer.Candidate) bool { return c.Address == r.Self.Address || accepts(c.Address) }
 	maxWeight := 0.0
 	for _, c := range cs {
-		maxWeight = max(maxWeight, c.Weight)
+		if c.Weight > maxWeight && accepted(c) {
+			maxWeight = c.Weight
+		}
+	}
+	for _, c := range cs {
+		if c.Weight >= leaderCapacityShare*maxWeight && accepted(c) {
+			return c.VM, true
+		}
 	}
-	cs = slices.DeleteFunc(cs, func(c placer.Candidate) bool { return c.Weight < leaderCapacityShare*maxWeight })
-	return placer.First("leader/"+domain, cs)
+	return placer.VM{}, false
 }
 
 // IsLeader reports whether this VM is the leader of its domain.
--- a/internal/tracker/instances.go
+++ b/internal/tracker/instances.go
@@ -102,6 +102,7 @@
 		r.Offset = 0
 		t.markRecord(r)
 		t.records[e.ID] = r
+		t.mayExpire = true
 		return false
 	}
 	return t.endRegistration(from, r, e)
@@ -133,6 +134,7 @@
 	previous := r.current()
 	r.Entry = e
 	if e.Offset < r.endedBefore {
+		t.mayExpire = true
 		return false
 	}
 	r.expiresAt, r.goneAt = time.Time{}, time.Time{}
@@ -168,7 +170,7 @@
 		return false
 	}
 	now := t.clock.Now()
-	r.goneAt = now
+	r.goneAt, t.mayExpire = now, true
 	t.markRecord(r)
 	if previous == ConditionReady && now.Before(t.graceUntil) {
 		r.expiresAt = earlier(t.graceUntil, now.Add(maxLapsedUse))
@@ -204,7 +206,12 @@
 	now := t.clock.Now()
 	changed := false
 	t.expireLimits(now)
+	if !t.mayExpire {
+		return false
+	}
+	t.mayExpire = false
 	for id, r := range t.records {
+		t.mayExpire = t.mayExpire || r.condition() == ConditionGone || !r.expiresAt.IsZero()
 		switch {
 		case !r.expiresAt.IsZero() && !now.Before(r.expiresAt):
 			r.expiresAt = time.Time{}
@@ -233,7 +240,7 @@
 	changed := r != nil && r.usable()
 	if changed {
 		r.end(endedAt(id, r.Offset))
-		r.goneAt, r.expiresAt = t.clock.Now(), time.Time{}
+		r.goneAt, r.expiresAt, t.mayExpire = t.clock.Now(), time.Time{}, true
 		t.markRecord(r)
 		t.logger.Info("instance moved", zap.String("id", id))
 	}
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -44,8 +44,11 @@
 	// graceUntil is the end of the grace period after the last outage.
 	graceUntil time.Time
 	records    map[string]*record
-	limits     map[string]*limitRecord
-	members    map[netip.AddrPort]*member
+	// mayExpire is set if a registration has ended, or an instance is in use until the end of its grace period: expire has
+	// nothing to do otherwise.
+	mayExpire bool
+	limits    map[string]*limitRecord
+	members   map[netip.AddrPort]*member
 	// membersKnown is set once the store's list of VMs was read.
 	membersKnown bool
 	// sortedMembers are the members in order of address; nil after a change. The slice is never modified once it is
--- a/pkg/placer/rank.go
+++ b/pkg/placer/rank.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"cmp"
 	"math"
 	"net/netip"
 	"slices"
@@ -61,8 +62,7 @@
 	k := Hash(key)
 	lowestScore := math.Inf(1)
 	for _, c := range candidates {
-		u := (float64(Weight(k, hashAddress(c.Address))>>11) + 0.5) / (1 << 53)
-		score := -math.Log(u) / max(c.Weight, 1e-9)
+		score := c.score(k)
 		if score < lowestScore || score == lowestScore && Compare(c.VM, vm) < 0 {
 			vm, ok, lowestScore = c.VM, true, score
 		}
@@ -70,6 +70,32 @@
 	return vm, ok
 }
 
+// Order returns the candidates in the order in which they win a key: First returns its first element, and the next one for as
+// long as those before it are no candidates.
+func Order(key string, candidates []Candidate) []Candidate {
+	type scored struct {
+		Candidate
+		score float64
+	}
+	k := Hash(key)
+	list := make([]scored, len(candidates))
+	for i, c := range candidates {
+		list[i] = scored{c, c.score(k)}
+	}
+	slices.SortFunc(list, func(a, b scored) int { return cmp.Or(cmp.Compare(a.score, b.score), Compare(a.VM, b.VM)) })
+	out := make([]Candidate, len(list))
+	for i, s := range list {
+		out[i] = s.Candidate
+	}
+	return out
+}
+
+// score returns the candidate's score for a key with a hash; the lowest score wins.
+func (c Candidate) score(key uint64) float64 {
+	u := (float64(Weight(key, hashAddress(c.Address))>>11) + 0.5) / (1 << 53)
+	return -math.Log(u) / max(c.Weight, 1e-9)
+}
+
 // hashAddress returns the same as Hash(a.String()) without allocating the string.
 func hashAddress(a netip.AddrPort) uint64 {
 	var b [64]byte
