Let a VM that starts ask its leader before it reads the store

Cause: each VM that starts read the configuration, the registry (two pages with 540 instances) and the list of VMs from the store, and then asked the leaders of all failure domains for the same.

Change: a VM reads the list of VMs, and waits for up to 0.3 s for its leader, which passes the rest on. Only a VM that leads reads at once; others read after 0.7 s if they still know nothing. The leaders of all domains are asked by leaders, and where the own one does not answer.

--- a/internal/relayer/constants.go
+++ b/internal/relayer/constants.go
@@ -63,6 +63,12 @@
 	// for about 1.5 s after the configuration became stale, which leaves time for two attempts.
 	followerInitialBackoff = 500 * time.Millisecond
 	followerMaxBackoff     = 1800 * time.Millisecond
+	// peersFirstTimeout is how long after its start a VM waits for its peers' state before it reads the store itself; requests
+	// wait for 0.9 s. It checks every startCheckInterval whether it may read.
+	peersFirstTimeout  = 700 * time.Millisecond
+	startCheckInterval = 10 * time.Millisecond
+	// leaderTimeout is how long a VM that starts waits for the state of its domain's leader before it asks all leaders.
+	leaderTimeout = 300 * time.Millisecond
 	// formationTime is how long after its start a VM of a new fleet reads the list of VMs again: all VMs start within
 	// 0.3 s and then announce themselves.
 	formationTime = 600 * time.Millisecond
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -61,6 +61,9 @@
 	}
 	k.limitsSequence = limitsSequence
 	r.applyBeliefs(to, leader, began, k, b)
+	if !leader && b.GetConfigurationKnown() && b.GetInstancesKnown() {
+		r.heardLeader.Store(true)
+	}
 	if wait > 0 && !leader && !r.fresh(b) {
 		return errStale
 	}
--- a/internal/relayer/loops.go
+++ b/internal/relayer/loops.go
@@ -52,7 +52,11 @@
 		l, ok := r.leader(r.Self.Domain)
 		if !ok || l.Address == r.Self.Address {
 			r.flushOutgoing()
-			r.sleep(ctx, tickInterval)
+			pause := tickInterval
+			if !r.caughtUp.Load() {
+				pause = startCheckInterval
+			}
+			r.sleep(ctx, pause)
 			continue
 		}
 		err := r.exchange(ctx, l, exchangeWait, false)
@@ -178,6 +182,8 @@
 	read func(ctx context.Context, wait time.Duration) error
 	// wait is how long a read for others waits for changes.
 	wait time.Duration
+	// relayed says that peers pass the data on, so that a VM that starts asks them first.
+	relayed bool
 }
 
 // staleness holds the ages of data from which a VM reads the store itself although another VM should: its leader may
@@ -209,6 +215,15 @@
 	return s.follower + jitter
 }
 
+// awaitsPeers reports whether this VM, which knows nothing yet, should wait for what its peers know instead of reading the
+// store: all VMs of a fleet may start at once. A VM that leads reads as soon as it knows that, and no VM waits for long.
+func (r *Relayer) awaitsPeers() bool {
+	if r.Clock.Since(r.startedAt) > peersFirstTimeout {
+		return false
+	}
+	return !r.listed.Load() || !r.caughtUp.Load() && !r.IsLeader()
+}
+
 // nextBackoff returns the delay after another failed read. It is longer where other VMs read for this one: they will
 // notice first that the store is back, and pass on what they read.
 func nextBackoff(previous time.Duration, responsible bool) time.Duration {
@@ -227,6 +242,10 @@
 	for ctx.Err() == nil {
 		responsible := p.responsible()
 		a, ok := p.age()
+		if !ok && p.relayed && r.awaitsPeers() {
+			r.sleep(ctx, startCheckInterval)
+			continue
+		}
 		if t := r.staleThreshold(p.stale, jitter); !responsible && ok && a < t {
 			r.sleep(ctx, min(t-a+time.Millisecond, tickInterval))
 			continue
@@ -267,7 +286,7 @@
 	var after Position
 	var found configurationReads
 	r.poll(ctx, poller{
-		name: "configuration", wait: configurationPollWait, responsible: r.IsLeader, stale: configurationStaleness,
+		name: "configuration", relayed: true, wait: configurationPollWait, responsible: r.IsLeader, stale: configurationStaleness,
 		age: func() (time.Duration, bool) {
 			t, at := r.Tracker.Table()
 			return r.Clock.Since(at), t != nil
@@ -344,7 +363,7 @@
 func (r *Relayer) readRegistrations(ctx context.Context) {
 	var after Position
 	r.poll(ctx, poller{
-		name: "registrations", interval: r.registrationInterval(), responsible: r.readsForFleet, stale: r.instancesStaleness(),
+		name: "registrations", relayed: true, interval: r.registrationInterval(), responsible: r.readsForFleet, stale: r.instancesStaleness(),
 		age: func() (time.Duration, bool) {
 			_, a := r.Tracker.Ages()
 			return a, a < time.Hour // Before the first read, the age counts from the zero time.
@@ -374,6 +393,7 @@
 			if err != nil {
 				return err
 			}
+			r.listed.Store(true)
 			if readAt.IsZero() && !r.formed(got) {
 				r.sleep(ctx, formationTime-r.Clock.Since(r.startedAt))
 				if got, err = r.readMembers(ctx, got.Next); err != nil {
@@ -381,7 +401,10 @@
 				}
 			}
 			if readAt.IsZero() {
-				r.catchUp(ctx)
+				if !r.awaitLeader(ctx) {
+					r.catchUp(ctx)
+				}
+				r.caughtUp.Store(true)
 			}
 			after, readAt = got.Next, r.Clock.Now()
 			r.Tracker.MarkMembersKnown()
@@ -390,6 +413,20 @@
 	})
 }
 
+// awaitLeader waits until the leader of this VM's domain has passed on what it knows, and reports whether it has. It returns
+// false at once if this VM leads.
+func (r *Relayer) awaitLeader(ctx context.Context) bool {
+	for until := r.Clock.Now().Add(leaderTimeout); ctx.Err() == nil && !r.IsLeader(); r.sleep(ctx, startCheckInterval) {
+		if r.heardLeader.Load() {
+			return true
+		}
+		if r.Clock.Now().After(until) {
+			break
+		}
+	}
+	return false
+}
+
 // catchUp gets what the leaders of all failure domains know, before this VM serves: the store may have been restored from a
 // copy just now, and lack what its peers know.
 func (r *Relayer) catchUp(ctx context.Context) {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -49,6 +50,9 @@
 	limits    *limits
 	transfers *transfers
 	startedAt time.Time
+	// listed is set once this VM has read the list of VMs, heardLeader once the leader of its domain has passed on what it
+	// knows, and caughtUp once it need not wait for its peers any more.
+	listed, heardLeader, caughtUp atomic.Bool
 
 	// placed is the last placement, and placementMu guards it.
 	placementMu sync.Mutex
