Let a VM that starts pass nothing on before it has asked its peers

Cause, by reading: since VMs that start get their state from their leader, a leader that starts with them could pass on what it had read from a restored store, keys that were withdrawn since the copy included, in the moment before it had asked the leaders of the other domains.

Change: until it has asked them, a VM answers exchanges as one that knows nothing. TestStartingLeaderPassesNothingOn fails without it.

--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -240,6 +240,9 @@
 		sequence = 0
 	}
 	c := r.awaitChanges(ctx, sequence, b, time.Duration(m.GetWaitMs())*time.Millisecond)
+	if r.starting.Load() {
+		c = tracker.Changes{Sequence: sequence} // What it read may be less than what its peers know.
+	}
 	if m.GetFetchesConfiguration() {
 		c.Table = nil
 	}
--- a/internal/relayer/fetch_test.go
+++ b/internal/relayer/fetch_test.go
@@ -15,6 +15,8 @@
 	"github.com/jacinthproxy/jacinthproxy/internal/messenger"
 	"github.com/jacinthproxy/jacinthproxy/internal/messenger/wire"
 	"github.com/jacinthproxy/jacinthproxy/internal/router"
+	"github.com/jacinthproxy/jacinthproxy/internal/tracker"
+	"github.com/jacinthproxy/jacinthproxy/pkg/balancer"
 	"github.com/jacinthproxy/jacinthproxy/pkg/placer"
 )
 
@@ -179,3 +181,25 @@
 	require.True(t, f.current(began))
 	require.EqualValues(t, 5, f.newest)
 }
+
+// A leader that has read a restored store, but not asked its peers yet, would pass on what had been withdrawn since the copy.
+func TestStartingLeaderPassesNothingOn(t *testing.T) {
+	rs, _, _ := newPeers(1)
+	r := rs[0]
+	r.starting.Store(true)
+	r.applyTable(router.New(routes(1, 3)), content{})
+	r.Tracker.MarkTableFresh(1, r.Clock.Now(), 1)
+	r.Tracker.ApplyRegistrations(r.Clock.Now(), []tracker.Entry{{Instance: balancer.Instance{ID: "i"}}}, true, 2)
+	ask := func(sequence uint64) *wire.Beliefs {
+		return r.handleExchange(t.Context(), placer.VM{Domain: "d"}, &wire.Exchange{Incarnation: 1, Sequence: sequence, FetchesConfiguration: true})
+	}
+	b := ask(0)
+	require.False(t, b.GetConfigurationKnown() || b.GetInstancesKnown())
+	require.Zero(t, b.GetConfigurationVersion())
+	require.Empty(t, b.GetRegistrations())
+	r.starting.Store(false)
+	b = ask(b.GetSequence())
+	require.True(t, b.GetConfigurationKnown() && b.GetInstancesKnown())
+	require.EqualValues(t, 1, b.GetConfigurationVersion())
+	require.Len(t, b.GetRegistrations(), 1)
+}
--- a/internal/relayer/loops.go
+++ b/internal/relayer/loops.go
@@ -407,6 +407,7 @@
 					r.catchUp(ctx)
 				}
 				r.caughtUp.Store(true)
+				r.starting.Store(false)
 			}
 			after, readAt = got.Next, r.Clock.Now()
 			r.Tracker.MarkMembersKnown()
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -53,6 +53,8 @@
 	// listed is set once this VM has read the list of VMs, heardLeader once the leader of its domain has passed on what it
 	// knows, and caughtUp once it need not wait for its peers any more.
 	listed, heardLeader, caughtUp atomic.Bool
+	// starting is set from the start of Run until this VM has caught up; it passes nothing on before.
+	starting atomic.Bool
 
 	// placed is the last placement, and placementMu guards it.
 	placementMu sync.Mutex
@@ -154,6 +156,7 @@
 
 // Run exchanges with peers and reads the store until the context ends.
 func (r *Relayer) Run(ctx context.Context) {
+	r.starting.Store(true)
 	r.updateSelf()
 	loops := []func(context.Context){r.announce, r.readConfiguration, r.readRegistrations, r.readPeers, r.followLeader, r.runLeader, r.sendReports, r.fetchConfigurations}
 	var g sync.WaitGroup
