--- /dev/null
+++ b/internal/forwarder/copies_test.go
@@ -0,0 +1,103 @@
+package forwarder_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// newScriptedInstance starts an instance that writes the same bytes for the nth request of a connection on every connection.
+func newScriptedInstance(t *testing.T, script ...string) netip.AddrPort {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				r := bufio.NewReader(c)
+				for _, s := range script {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, req.Body)
+					if _, err := io.WriteString(c, s); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+func answerTo(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Signature: sig-%s\r\nContent-Length: %d\r\n\r\n%s", id, id, len(body), body)
+}
+
+func refusalOf(id string) string {
+	return fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n", id)
+}
+
+// An earlier response that comes once more must not be taken for that of the request that uses the connection now.
+func TestLateCopiesAreNotTakenForTheResponse(t *testing.T) {
+	const own = "own"
+	for name, c := range map[string]struct {
+		first, second string
+		// fails says that the second request may fail, but must get no other response.
+		fails bool
+	}{
+		"answer":                      {answerTo("1", "first"), answerTo("1", "first") + answerTo("2", own), false},
+		"refusal":                     {refusalOf("1"), refusalOf("1") + answerTo("2", own), false},
+		"refusal, twice":              {refusalOf("1"), refusalOf("1") + refusalOf("1") + answerTo("2", own), false},
+		"answer behind 1xx":           {answerTo("1", "first"), "HTTP/1.1 102 Processing\r\n\r\n" + answerTo("1", "first") + answerTo("2", own), false},
+		"part of an answer":           {answerTo("1", "first"), answerTo("1", "first")[:40] + answerTo("2", own), true},
+		"answer without its body":     {answerTo("1", "first"), answerTo("1", "first")[:len(answerTo("1", "first"))-5] + answerTo("2", own), true},
+		"only the copy":               {answerTo("1", "first"), answerTo("1", "first"), true},
+		"only the copy of a refusal":  {refusalOf("1"), refusalOf("1"), true},
+		"copies without end":          {answerTo("1", "first"), answerTo("1", "first") + answerTo("1", "first") + answerTo("1", "first") + answerTo("1", "first"), true},
+		"refusal without an id, once": {"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", answerTo("2", own), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, f := newScriptedInstance(t, c.first, c.second), newForwarder()
+			_, err := f.Send(t.Context(), a, request("1"), maxIdle)
+			require.NoError(t, err)
+			resp, err := f.Send(t.Context(), a, request("2"), maxIdle)
+			if err != nil {
+				require.True(t, c.fails, err)
+				return
+			}
+			if c.fails && resp.Header.Get("Request-Id") == "" {
+				require.False(t, resp.Reused, "a connection is not used again after a response without an id")
+				return
+			}
+			require.Equal(t, "2", resp.Header.Get("Request-Id"))
+			require.Equal(t, own, string(resp.Body))
+			require.False(t, resp.NotRun)
+		})
+	}
+}
+
+// The copy of a response to HEAD may have the body that the response had not.
+func TestCopyOfAResponseToHeadIsNotTakenForTheNext(t *testing.T) {
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Signature: s\r\nContent-Length: 5\r\n\r\n", "1")
+	a, f := newScriptedInstance(t, head, answerTo("1", "first")+answerTo("2", "own")), newForwarder()
+	r := request("1")
+	r.Method, r.Body, r.Length = http.MethodHead, nil, 0
+	_, err := f.Send(t.Context(), a, r, maxIdle)
+	require.NoError(t, err)
+	resp, err := f.Send(t.Context(), a, request("2"), maxIdle)
+	require.NoError(t, err)
+	require.Equal(t, "own", string(resp.Body))
+}
