Take a VM that became ready just after it was heard of for ready

Callers may have been kept from a VM for as long as it ran, by those that asked a VM which never learned that it was ready.

Logs of one: a leader answered a peer while it was starting and became ready 2 ms later; the peer has it as starting until the end.

Cause: states of one VM were ordered by the times at which they held. Relayed times are rounded up to milliseconds of age, so that "ready" may seem older than the "starting" that the peer had heard itself.

Change: within an incarnation, starting, ready and leaving follow each other whatever the times say; only down is ordered by time. TestVMThatBecameReadyJustAfterItWasHeardOfIsReady fails before.

--- a/internal/tracker/entry.go
+++ b/internal/tracker/entry.go
@@ -72,5 +72,10 @@
 	if m.Incarnation != o.Incarnation {
 		return m.Incarnation > o.Incarnation
 	}
+	// A VM starts, becomes ready and leaves, in this order. Relayed times are a little early, so that a VM that became ready
+	// just after it was heard of would seem to be starting for ever.
+	if m.Role != o.Role && m.Role != RoleDown && o.Role != RoleDown {
+		return m.Role > o.Role
+	}
 	return m.AsOf.After(o.AsOf)
 }
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -450,3 +450,21 @@
 	require.Equal(t, tracker.RoleDown, tr.Members()[0].Role)
 	require.Equal(t, tracker.RoleReady, before[0].Role)
 }
+
+// A peer that had heard of a VM just before it became ready never learned of it: the relayed time was a little early.
+func TestVMThatBecameReadyJustAfterItWasHeardOfIsReady(t *testing.T) {
+	tr, c := newTracker()
+	vm := placer.VM{Address: netip.MustParseAddrPort("10.0.0.1:1"), Incarnation: 1}
+	update := func(role tracker.Role, after time.Duration) tracker.Role {
+		tr.UpdateMember(tracker.Member{VM: vm, Role: role, AsOf: c.Now().Add(after)})
+		return tr.Members()[0].Role
+	}
+	update(tracker.RoleStarting, 0)
+	require.Equal(t, tracker.RoleReady, update(tracker.RoleReady, -time.Millisecond))
+	require.Equal(t, tracker.RoleReady, update(tracker.RoleStarting, time.Second), "it does not start again in one incarnation")
+	require.Equal(t, tracker.RoleDown, update(tracker.RoleDown, 2*time.Second))
+	require.Equal(t, tracker.RoleDown, update(tracker.RoleReady, time.Second), "older than what marked it down")
+	require.Equal(t, tracker.RoleReady, update(tracker.RoleReady, 3*time.Second))
+	require.Equal(t, tracker.RoleLeaving, update(tracker.RoleLeaving, 0))
+	require.Equal(t, tracker.RoleLeaving, update(tracker.RoleReady, 4*time.Second))
+}
