--- a/internal/forwarder/copies_test.go
+++ b/internal/forwarder/copies_test.go
@@ -46,9 +46,8 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Signature: sig-%s\r\nContent-Length: %d\r\n\r\n%s", id, id, len(body), body)
 }
 
-func refusalOf(id string) string {
-	return fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n", id)
-}
+// refusal refuses request 1.
+const refusal = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRequest-Id: 1\r\nContent-Length: 0\r\n\r\n"
 
 // An earlier response that comes once more must not be taken for that of the request that uses the connection now.
 func TestLateCopiesAreNotTakenForTheResponse(t *testing.T) {
@@ -59,13 +58,13 @@
 		fails bool
 	}{
 		"answer":                      {answerTo("1", "first"), answerTo("1", "first") + answerTo("2", own), false},
-		"refusal":                     {refusalOf("1"), refusalOf("1") + answerTo("2", own), false},
-		"refusal, twice":              {refusalOf("1"), refusalOf("1") + refusalOf("1") + answerTo("2", own), false},
+		"refusal":                     {refusal, refusal + answerTo("2", own), false},
+		"refusal, twice":              {refusal, refusal + refusal + answerTo("2", own), false},
 		"answer behind 1xx":           {answerTo("1", "first"), "HTTP/1.1 102 Processing\r\n\r\n" + answerTo("1", "first") + answerTo("2", own), false},
 		"part of an answer":           {answerTo("1", "first"), answerTo("1", "first")[:40] + answerTo("2", own), true},
 		"answer without its body":     {answerTo("1", "first"), answerTo("1", "first")[:len(answerTo("1", "first"))-5] + answerTo("2", own), true},
 		"only the copy":               {answerTo("1", "first"), answerTo("1", "first"), true},
-		"only the copy of a refusal":  {refusalOf("1"), refusalOf("1"), true},
+		"only the copy of a refusal":  {refusal, refusal, true},
 		"copies without end":          {answerTo("1", "first"), answerTo("1", "first") + answerTo("1", "first") + answerTo("1", "first") + answerTo("1", "first"), true},
 		"refusal without an id, once": {"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", answerTo("2", own), true},
 	} {
