Drop a field that nothing reads

Cause: found on reading the diff: transfers kept the relayer without use. Change: it gets the speed of the link only; nothing that the daemon does changes. Result: the tests of the package pass.

--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -123,7 +123,7 @@
 		cursors: map[netip.AddrPort]cursor{}, domainsLive: map[string]liveCount{},
 		reads: map[string]float64{}, decisions: map[string]float64{}, limitDecisions: map[string]float64{},
 	}
-	r.rates, r.limits, r.transfers = newRates(r), newLimits(r), newTransfers(r)
+	r.rates, r.limits, r.transfers = newRates(r), newLimits(r), newTransfers(o.LinkSpeed)
 	return r
 }
 
--- a/internal/relayer/transfer.go
+++ b/internal/relayer/transfer.go
@@ -59,7 +59,6 @@
 // transfers passes configurations on between VMs, as changes between versions and in parts: neither the size of a
 // configuration nor the speed of a link decides whether a transfer ends.
 type transfers struct {
-	relayer *Relayer
 	// pace keeps the parts that this VM sends to a share of its link.
 	pace *rate.Limiter
 
@@ -78,12 +77,13 @@
 	wake chan netip.AddrPort
 }
 
-func newTransfers(r *Relayer) *transfers {
+// newTransfers returns the transfers of a VM with a link of the given speed in bit/s; zero if unknown.
+func newTransfers(linkSpeed float64) *transfers {
 	limit := rate.Inf
-	if r.LinkSpeed > 0 {
-		limit = rate.Limit(transferLinkShare * r.LinkSpeed / 8)
+	if linkSpeed > 0 {
+		limit = rate.Limit(transferLinkShare * linkSpeed / 8)
 	}
-	return &transfers{relayer: r, pace: rate.NewLimiter(limit, 4*partBytes), fetching: make(chan struct{}, 1), wake: make(chan netip.AddrPort, 1)}
+	return &transfers{pace: rate.NewLimiter(limit, 4*partBytes), fetching: make(chan struct{}, 1), wake: make(chan netip.AddrPort, 1)}
 }
 
 // applyTable puts a table in force, and keeps the change for VMs that have the version before. Encoded is the change or
