Show that kept connections stay under the limits of an older version

Cause: connections stay with the http.Server that was made with the limits in force when they were accepted.

--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -85,7 +85,9 @@
 // request is what a client sends.
 type request struct {
 	method, path, key, body string
-	limit                   time.Duration
+	// header holds further header lines.
+	header string
+	limit  time.Duration
 }
 
 // sent is one request with what became of it.
@@ -142,8 +144,8 @@
 	}
 	s.to, s.at = c.to, time.Now()
 	_ = c.conn.SetDeadline(s.at.Add(q.limit))
-	_, s.err = fmt.Fprintf(c.conn, "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nX-Api-Key: %s\r\nContent-Length: %d\r\n\r\n%s",
-		q.method, q.path, host, s.id, q.limit.Milliseconds(), q.key, len(q.body), q.body)
+	_, s.err = fmt.Fprintf(c.conn, "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nX-Api-Key: %s\r\n%sContent-Length: %d\r\n\r\n%s",
+		q.method, q.path, host, s.id, q.limit.Milliseconds(), q.key, q.header, len(q.body), q.body)
 	if s.err == nil {
 		s.err = c.read(&s)
 	}
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -43,8 +43,9 @@
 	storeIP   string
 	net       string
 	machines  []*machine
-	// idleTimeout is IdleTimeoutS of the next configuration.
+	// idleTimeout and headerLimit are IdleTimeoutS and MaxHeaderBytes of the next configuration.
 	idleTimeout float64
+	headerLimit int
 
 	mu      sync.Mutex
 	version int
@@ -58,7 +59,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{root: root, dir: dir, record: rec, store: emulator.NewStore(), idleTimeout: 15}
+	f := &fleet{root: root, dir: dir, record: rec, store: emulator.NewStore(), idleTimeout: 15, headerLimit: headerLimitBefore}
 	if err := f.findAddresses(n); err != nil {
 		return nil, err
 	}
@@ -264,7 +265,7 @@
 	defer f.mu.Unlock()
 	f.version += 3
 	resources = append(resources, resource("Services", service, map[string]any{"HealthPath": "/health", "MaxConnections": 390, "Protocol": "h1", "Tls": false}))
-	resources = append(resources, resource("Limits", "", map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 67108864, "HeaderTimeoutS": 3, "IdleTimeoutS": f.idleTimeout}))
+	resources = append(resources, resource("Limits", "", map[string]any{"MaxHeaderBytes": f.headerLimit, "MaxBodyBytes": 67108864, "HeaderTimeoutS": 3, "IdleTimeoutS": f.idleTimeout}))
 	b, err := json.Marshal(map[string]any{"Version": f.version, "Resources": resources})
 	if err != nil {
 		panic(err)
