Refuse requests that a planned stop would cut

Cause: a stop only closed connections, and one HTTP server after another, so a long request on one server kept the others open. No code asked whether a request could still end in time. A body that ended late was passed on, too, without any change of Limits; so were requests that waited for a token and repeats, by reading.

Now, once the listener is closed, a request begins only if its deadline lies before the end of the stop. All others get 503, not run, at once: on arrival, while their body is read, while they wait and before they are sent again. A request that begins is over at its deadline, so none is cut that began later. The servers shut down together.

--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -72,6 +72,9 @@
 	if r.sent >= r.route.Attempts || r.unsent >= maxUnsent {
 		return r.giveUp(), false
 	}
+	if res, ok = r.checkStop(); !ok {
+		return res, false
+	}
 	c, res, ok := r.choose(ctx)
 	if !ok {
 		return res, false
--- a/internal/receiver/choose.go
+++ b/internal/receiver/choose.go
@@ -59,11 +59,26 @@
 	}
 }
 
-// checkBeliefs waits for a recent view of the instances and checks the age of the configuration.
+// checkStop checks that the request may still be sent to an instance before the VM stops.
+func (r *retrier) checkStop() (res result, ok bool) {
+	switch {
+	case r.stop.mayBegin(r.deadline):
+		return result{}, true
+	case r.mayHaveRun:
+		return r.giveUp(), false
+	}
+	return stopping(), false
+}
+
+// checkBeliefs waits for a recent view of the instances and checks the age of the configuration, and that the VM does not
+// stop.
 func (r *retrier) checkBeliefs(ctx context.Context) (res result, ok bool) {
 	if !r.awaitView(ctx) {
 		return r.giveUp(), false
 	}
+	if res, ok = r.checkStop(); !ok {
+		return res, false
+	}
 	if res, ok = r.checkKeyAge(); !ok && r.mayHaveRun {
 		return r.giveUp(), false
 	}
@@ -91,6 +106,7 @@
 	case <-ctx.Done():
 		return r.interrupted(), false
 	case <-r.Clock.After(wait):
+	case <-r.stop.wake():
 	}
 	return r.checkBeliefs(ctx)
 }
--- a/internal/receiver/exchange.go
+++ b/internal/receiver/exchange.go
@@ -39,6 +39,8 @@
 	body      []byte
 	// bodyRest reads the rest of a body that is not buffered as a whole; nil if body is complete.
 	bodyRest *restReader
+	// bodyUnread is set if the request was refused before the end of its body was read.
+	bodyUnread bool
 	// reserved is the memory reserved for body, in bytes.
 	reserved int64
 
@@ -118,6 +120,10 @@
 	if res, ok = x.checkKeyAge(); !ok {
 		return res, false
 	}
+	if !x.stop.mayBegin(x.deadline) {
+		x.bodyUnread = true
+		return stopping(), false
+	}
 	if res, ok = x.readBody(table.Limits); !ok {
 		return res, false
 	}
@@ -176,7 +182,12 @@
 	_ = rc.SetReadDeadline(time.Now().Add(x.deadline.Sub(x.Clock.Now())))
 	src := http.MaxBytesReader(x.w, x.req.Body, l.MaxBodyBytes)
 	buffered := x.bufferedLength()
+	done := x.interruptRead(rc)
 	b, err := io.ReadAll(io.LimitReader(src, buffered+1))
+	if !done() {
+		x.bodyUnread = true
+		return stopping(), false
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
@@ -295,7 +306,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	h := x.w.Header()
-	unread := x.bodyRest != nil && !x.bodyRest.ended.Load()
+	unread := x.bodyUnread || x.bodyRest != nil && !x.bodyRest.ended.Load()
 	if x.Draining() || unread {
 		h.Set("Connection", "close")
 	}
--- a/internal/receiver/reason.go
+++ b/internal/receiver/reason.go
@@ -17,6 +17,8 @@
 	ReasonUnknownKey
 	// ReasonStale means that the configuration of this VM is too old to accept a key or to deny the request.
 	ReasonStale
+	// ReasonStopping means that this VM stops before the request's deadline; no instance ran it.
+	ReasonStopping
 	// ReasonOverRate means that the client account exceeded its rate.
 	ReasonOverRate
 	// ReasonBadBody means that the caller's body could not be read.
@@ -40,7 +42,7 @@
 // notRun reports whether the reason implies that no instance ran the request.
 func (i Reason) notRun() bool {
 	switch i {
-	case ReasonNoConfiguration, ReasonStale, ReasonOverRate, ReasonNoInstance, ReasonLimited, ReasonShed, ReasonNoRoute, ReasonUnknownKey,
+	case ReasonNoConfiguration, ReasonStale, ReasonStopping, ReasonOverRate, ReasonNoInstance, ReasonLimited, ReasonShed, ReasonNoRoute, ReasonUnknownKey,
 		ReasonBadBody, ReasonTooLarge:
 		return true
 	case ReasonAnswered, ReasonBroken, ReasonTimeout, ReasonCanceled:
--- a/internal/receiver/reason_enumer.go
+++ b/internal/receiver/reason_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "answeredno-configurationno-routeunknown-keystaleover-ratebad-bodytoo-largeno-instancelimitedshedbrokentimeoutcanceled"
+const _ReasonName = "answeredno-configurationno-routeunknown-keystalestoppingover-ratebad-bodytoo-largeno-instancelimitedshedbrokentimeoutcanceled"
 
-var _ReasonIndex = [...]uint8{0, 8, 24, 32, 43, 48, 57, 65, 74, 85, 92, 96, 102, 109, 117}
+var _ReasonIndex = [...]uint8{0, 8, 24, 32, 43, 48, 56, 65, 73, 82, 93, 100, 104, 110, 117, 125}
 
-const _ReasonLowerName = "answeredno-configurationno-routeunknown-keystaleover-ratebad-bodytoo-largeno-instancelimitedshedbrokentimeoutcanceled"
+const _ReasonLowerName = "answeredno-configurationno-routeunknown-keystalestoppingover-ratebad-bodytoo-largeno-instancelimitedshedbrokentimeoutcanceled"
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_ReasonIndex)-1) {
@@ -29,18 +29,19 @@
 	_ = x[ReasonNoRoute-(2)]
 	_ = x[ReasonUnknownKey-(3)]
 	_ = x[ReasonStale-(4)]
-	_ = x[ReasonOverRate-(5)]
-	_ = x[ReasonBadBody-(6)]
-	_ = x[ReasonTooLarge-(7)]
-	_ = x[ReasonNoInstance-(8)]
-	_ = x[ReasonLimited-(9)]
-	_ = x[ReasonShed-(10)]
-	_ = x[ReasonBroken-(11)]
-	_ = x[ReasonTimeout-(12)]
-	_ = x[ReasonCanceled-(13)]
+	_ = x[ReasonStopping-(5)]
+	_ = x[ReasonOverRate-(6)]
+	_ = x[ReasonBadBody-(7)]
+	_ = x[ReasonTooLarge-(8)]
+	_ = x[ReasonNoInstance-(9)]
+	_ = x[ReasonLimited-(10)]
+	_ = x[ReasonShed-(11)]
+	_ = x[ReasonBroken-(12)]
+	_ = x[ReasonTimeout-(13)]
+	_ = x[ReasonCanceled-(14)]
 }
 
-var _ReasonValues = []Reason{ReasonAnswered, ReasonNoConfiguration, ReasonNoRoute, ReasonUnknownKey, ReasonStale, ReasonOverRate, ReasonBadBody, ReasonTooLarge, ReasonNoInstance, ReasonLimited, ReasonShed, ReasonBroken, ReasonTimeout, ReasonCanceled}
+var _ReasonValues = []Reason{ReasonAnswered, ReasonNoConfiguration, ReasonNoRoute, ReasonUnknownKey, ReasonStale, ReasonStopping, ReasonOverRate, ReasonBadBody, ReasonTooLarge, ReasonNoInstance, ReasonLimited, ReasonShed, ReasonBroken, ReasonTimeout, ReasonCanceled}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:8]:     ReasonAnswered,
@@ -48,15 +49,16 @@
 	_ReasonName[24:32]:   ReasonNoRoute,
 	_ReasonName[32:43]:   ReasonUnknownKey,
 	_ReasonName[43:48]:   ReasonStale,
-	_ReasonName[48:57]:   ReasonOverRate,
-	_ReasonName[57:65]:   ReasonBadBody,
-	_ReasonName[65:74]:   ReasonTooLarge,
-	_ReasonName[74:85]:   ReasonNoInstance,
-	_ReasonName[85:92]:   ReasonLimited,
-	_ReasonName[92:96]:   ReasonShed,
-	_ReasonName[96:102]:  ReasonBroken,
-	_ReasonName[102:109]: ReasonTimeout,
-	_ReasonName[109:117]: ReasonCanceled,
+	_ReasonName[48:56]:   ReasonStopping,
+	_ReasonName[56:65]:   ReasonOverRate,
+	_ReasonName[65:73]:   ReasonBadBody,
+	_ReasonName[73:82]:   ReasonTooLarge,
+	_ReasonName[82:93]:   ReasonNoInstance,
+	_ReasonName[93:100]:  ReasonLimited,
+	_ReasonName[100:104]: ReasonShed,
+	_ReasonName[104:110]: ReasonBroken,
+	_ReasonName[110:117]: ReasonTimeout,
+	_ReasonName[117:125]: ReasonCanceled,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -65,15 +67,16 @@
 	_ReasonLowerName[24:32]:   ReasonNoRoute,
 	_ReasonLowerName[32:43]:   ReasonUnknownKey,
 	_ReasonLowerName[43:48]:   ReasonStale,
-	_ReasonLowerName[48:57]:   ReasonOverRate,
-	_ReasonLowerName[57:65]:   ReasonBadBody,
-	_ReasonLowerName[65:74]:   ReasonTooLarge,
-	_ReasonLowerName[74:85]:   ReasonNoInstance,
-	_ReasonLowerName[85:92]:   ReasonLimited,
-	_ReasonLowerName[92:96]:   ReasonShed,
-	_ReasonLowerName[96:102]:  ReasonBroken,
-	_ReasonLowerName[102:109]: ReasonTimeout,
-	_ReasonLowerName[109:117]: ReasonCanceled,
+	_ReasonLowerName[48:56]:   ReasonStopping,
+	_ReasonLowerName[56:65]:   ReasonOverRate,
+	_ReasonLowerName[65:73]:   ReasonBadBody,
+	_ReasonLowerName[73:82]:   ReasonTooLarge,
+	_ReasonLowerName[82:93]:   ReasonNoInstance,
+	_ReasonLowerName[93:100]:  ReasonLimited,
+	_ReasonLowerName[100:104]: ReasonShed,
+	_ReasonLowerName[104:110]: ReasonBroken,
+	_ReasonLowerName[110:117]: ReasonTimeout,
+	_ReasonLowerName[117:125]: ReasonCanceled,
 }
 
 var _ReasonNames = []string{
@@ -82,15 +85,16 @@
 	_ReasonName[24:32],
 	_ReasonName[32:43],
 	_ReasonName[43:48],
-	_ReasonName[48:57],
-	_ReasonName[57:65],
-	_ReasonName[65:74],
-	_ReasonName[74:85],
-	_ReasonName[85:92],
-	_ReasonName[92:96],
-	_ReasonName[96:102],
-	_ReasonName[102:109],
-	_ReasonName[109:117],
+	_ReasonName[48:56],
+	_ReasonName[56:65],
+	_ReasonName[65:73],
+	_ReasonName[73:82],
+	_ReasonName[82:93],
+	_ReasonName[93:100],
+	_ReasonName[100:104],
+	_ReasonName[104:110],
+	_ReasonName[110:117],
+	_ReasonName[117:125],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -177,6 +177,7 @@
 	Options
 	failedWaits failedWaits
 	splits      splits
+	stop        *stop
 	// answerLog bounds the log lines of requests that were answered by the first instance.
 	answerLog *rate.Limiter
 	// bodyBytes is the memory reserved for request bodies.
@@ -185,7 +186,7 @@
 
 // New returns a Receiver.
 func New(o Options) *Receiver {
-	return &Receiver{Options: o, failedWaits: failedWaits{at: map[string]time.Time{}}, splits: splits{at: map[string]float64{}}, answerLog: rate.NewLimiter(answersPerSecond, answersBurst)}
+	return &Receiver{Options: o, failedWaits: failedWaits{at: map[string]time.Time{}}, splits: splits{at: map[string]float64{}}, stop: newStop(), answerLog: rate.NewLimiter(answersPerSecond, answersBurst)}
 }
 
 // jitteredRetryAfter returns max(atLeast, minRetryAfter) plus up to retryAfterJitter at random.
--- a/internal/runner/constants.go
+++ b/internal/runner/constants.go
@@ -14,6 +14,8 @@
 	acceptFraction = 0.45
 	// finishFraction is the fraction of the grace period within which requests in flight may still finish.
 	finishFraction = 0.93
+	// answerMargin is the time for the answer to a request that ends at its deadline.
+	answerMargin = 100 * time.Millisecond
 	// idleConnFraction is the fraction of the file descriptors that idle connections to instances may use.
 	idleConnFraction = 0.25
 	// bodyMemoryFraction is the fraction of the memory limit that buffered request bodies may take.
--- a/internal/runner/listener.go
+++ b/internal/runner/listener.go
@@ -80,13 +80,18 @@
 	return s
 }
 
-// Stop closes the listener and waits until the requests in flight have finished or the context ends.
+// Stop closes the listener and waits until the requests in flight have finished or the context ends. A request on one
+// server must not keep the others from closing their connections.
 func (f *frontend) Stop(ctx context.Context) error {
 	err := f.listener.Close()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	stopped := make(chan error, len(f.servers))
 	for _, s := range f.servers {
-		err = errors.CombineErrors(err, s.Shutdown(ctx))
+		go func() { stopped <- s.Shutdown(ctx) }()
+	}
+	for range f.servers {
+		err = errors.CombineErrors(err, <-stopped)
 	}
 	return err
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -55,6 +55,7 @@
 	relayer   *relayer.Relayer
 	messenger *messenger.Messenger
 	forwarder *forwarder.Forwarder
+	receiver  *receiver.Receiver
 	frontend  *frontend
 	metrics   *metrics
 	servers   []*http.Server
@@ -99,11 +100,11 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
-	handler := receiver.New(receiver.Options{
+	r.receiver = receiver.New(receiver.Options{
 		HeaderNames: r.HeaderNames, Tracker: r.tracker, Admitter: r.relayer, Limiter: r.relayer, Picker: r.picker, Sender: r.forwarder, Observer: r.metrics,
 		MaxKeyAge: s.Bounds.MaxKeyAge, DrainTimeout: s.Bounds.DrainTimeout, MaxBodyMemory: int64(bodyMemoryFraction * float64(s.Memory)), Started: r.Clock.Now(), Draining: r.draining, Clock: r.Clock, Logger: r.Logger,
 	})
-	r.frontend = newFrontend(callers, handler, r.limits)
+	r.frontend = newFrontend(callers, r.receiver, r.limits)
 	peers, err := net.Listen("tcp", s.Peers.String())
 	if err != nil {
 		return errors.Wrap(err, "listen for peers")
@@ -202,15 +203,17 @@
 }
 
 // stop drains the daemon: it leaves the lists of addresses, accepts connections until callers have noticed, and
-// waits until all requests have finished or finishFraction of the grace period has passed.
+// waits until all requests have finished or finishFraction of the grace period has passed. Once it accepts no connections,
+// a request begins only if it ends before that.
 func (r *Runner) stop() error {
 	startedAt := r.Clock.Now()
 	grace := r.Settings.Bounds.StopGracePeriod
 	r.Logger.Info("stopping", zap.Duration("grace", grace))
 	r.relayer.SetRole(tracker.RoleLeaving)
 	<-r.Clock.After(time.Duration(acceptFraction * float64(grace)))
-	remaining := time.Duration(finishFraction*float64(grace)) - r.Clock.Since(startedAt)
-	ctx, cancel := context.WithTimeout(context.Background(), remaining)
+	finish := startedAt.Add(time.Duration(finishFraction * float64(grace)))
+	r.receiver.Stop(finish.Add(-answerMargin))
+	ctx, cancel := context.WithTimeout(context.Background(), finish.Sub(r.Clock.Now()))
 	defer cancel()
 	return errors.Wrap(r.frontend.Stop(ctx), "drain requests")
 }
