Send nothing to an instance that said in a response that it leaves

Cause: nothing read the header. The registry alone said who leaves, and an instance that is cut off from the store cannot tell it.

The forwarder now reads the statement in every head on the connection, also in interim, late, cut and refused responses. The receiver marks the incarnation that was chosen, not the one that is known when the response comes. A marked incarnation is not usable again whatever it states or registers later. The mark spreads with the statements on limits, in both directions, so the other VMs and those that start know it, too.

--- a/cmd/standin/emulator/instance.go
+++ b/cmd/standin/emulator/instance.go
@@ -33,6 +33,8 @@
 	rejected int
 	// limit is the limit that its responses state, in requests per second; zero if none.
 	limit float64
+	// leaving is set if its responses state that it leaves.
+	leaving bool
 }
 
 // NewInstance starts an instance that listens on a free port of 127.0.0.1 and answers every request with 200.
@@ -69,14 +71,25 @@
 	i.limit = rate
 }
 
-// limitHeader returns the header line that states the limit; it is empty if there is none.
-func (i *Instance) limitHeader() string {
+// SetLeaving sets whether all responses state from now on that the instance leaves.
+func (i *Instance) SetLeaving(leaving bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if i.limit == 0 {
-		return ""
+	i.leaving = leaving
+}
+
+// statements returns the header lines of what the instance states of itself.
+func (i *Instance) statements() string {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	lines := ""
+	if i.limit > 0 {
+		lines = fmt.Sprintf("Server-Limit: %g\r\n", i.limit)
+	}
+	if i.leaving {
+		lines += "Server-Leaving: 1\r\n"
 	}
-	return fmt.Sprintf("Server-Limit: %g\r\n", i.limit)
+	return lines
 }
 
 // ExecutedRequests returns a copy of the list of executed requests, in the order in which they were read.
@@ -142,18 +155,18 @@
 
 // Answer responds with 200 and the instance's ID in the body.
 func Answer(c net.Conn, r *http.Request, i *Instance) {
-	write(c, r.Header.Get("Request-Id"), http.StatusOK, i.limitHeader(), "from "+i.ID)
+	write(c, r.Header.Get("Request-Id"), http.StatusOK, i.statements(), "from "+i.ID)
 }
 
 // Fail executes the request and responds with a signed 500, an error of the instance itself.
 func Fail(c net.Conn, r *http.Request, i *Instance) {
-	write(c, r.Header.Get("Request-Id"), http.StatusInternalServerError, i.limitHeader(), "failed")
+	write(c, r.Header.Get("Request-Id"), http.StatusInternalServerError, i.statements(), "failed")
 }
 
 // Shed rejects the request with 503 and does not execute it.
 func Shed(c net.Conn, _ *http.Request, i *Instance) {
 	i.rejectLast()
-	_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n"+i.limitHeader()+"Content-Length: 0\r\n\r\n")
+	_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n"+i.statements()+"Content-Length: 0\r\n\r\n")
 }
 
 // Reset executes the request and resets the TCP connection instead of responding.
--- a/internal/forwarder/copies_test.go
+++ b/internal/forwarder/copies_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -42,6 +43,36 @@
 	return netip.MustParseAddrPort(l.Addr().String())
 }
 
+const leavingHeader = "Server-Leaving: 1\r\n"
+
+// A statement that the instance leaves must not be lost with a response that is not returned.
+func TestStatementThatTheInstanceLeavesIsSeenInAllItsResponses(t *testing.T) {
+	leaving := func(answer string) string { return strings.Replace(answer, "\r\n", "\r\n"+leavingHeader, 1) }
+	own := answerTo("1", "own")
+	for name, c := range map[string]struct {
+		script string
+		want   bool
+	}{
+		"answer":                              {leaving(own), true},
+		"other value":                         {strings.Replace(leaving(own), ": 1\r\nReq", ": 0\r\nReq", 1), false},
+		"refusal":                             {leaving(refusal), true},
+		"long answer":                         {leaving(answerTo("1", strings.Repeat("x", 1<<20))), true},
+		"interim response":                    {leaving("HTTP/1.1 102 Processing\r\n\r\n") + own, true},
+		"late answer":                         {leaving(answerTo("0", "other")) + own, true},
+		"answer to another request, too long": {leaving(answerTo("0", strings.Repeat("x", 1<<20))), true},
+		"answer cut in its body":              {leaving(own)[:len(leaving(own))-1], true},
+		"another instance at the address":     {leaving("HTTP/1.1 421 Misdirected Request\r\nRequest-Id: 1\r\nContent-Length: 0\r\n\r\n"), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			resp, _ := newForwarder().Send(t.Context(), newScriptedInstance(t, c.script), request("1"), maxIdle)
+			if resp.BodyRest != nil {
+				require.NoError(t, resp.BodyRest.Close())
+			}
+			require.Equal(t, c.want, resp.Leaving)
+		})
+	}
+}
+
 func answerTo(id, body string) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Signature: sig-%s\r\nContent-Length: %d\r\n\r\n%s", id, id, len(body), body)
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -46,6 +46,8 @@
 	NotRun string
 	// Limit carries the requests per second that the instance accepts from all VMs together.
 	Limit string
+	// Leaving is 1 in the responses of an instance that leaves.
+	Leaving string
 }
 
 // Request is a request for a backend server.
@@ -80,6 +82,8 @@
 	Signed bool
 	// Limit is what the response says about the instance's limit.
 	Limit Limit
+	// Leaving is set if the instance stated that it leaves. It also holds for a response that is returned with an error.
+	Leaving bool
 	// Reused is set if the connection had carried other requests before.
 	Reused bool
 }
@@ -122,7 +126,7 @@
 		if ctx.Err() != nil {
 			err = errors.Mark(err, ctx.Err())
 		}
-		return Response{}, err
+		return Response{Leaving: resp.Leaving}, err
 	}
 	resp.Reused = c.requests > 1
 	if resp.BodyRest != nil {
@@ -226,8 +230,11 @@
 	return errors.Wrap(w.Flush(), "write chunked request")
 }
 
-// readResponse reads the response to a request and skips interim responses and responses to earlier requests.
-func (f *Forwarder) readResponse(c *conn, r Request) (Response, error) {
+// readResponse reads the response to a request and skips interim responses and responses to earlier requests. What these
+// state of the instance holds all the same.
+func (f *Forwarder) readResponse(c *conn, r Request) (resp Response, err error) {
+	leaving := false
+	defer func() { resp.Leaving = leaving }()
 	for range maxResponsesRead {
 		c.in.limit(maxHeadBytes)
 		httpResp, err := http.ReadResponse(c.r, &http.Request{Method: r.Method}) //nolint:bodyclose // Reading to its end or closing the connection ends it.
@@ -235,6 +242,7 @@
 		if err != nil {
 			return Response{}, errors.Wrap(err, "answer")
 		}
+		leaving = leaving || f.statesLeaving(httpResp)
 		if httpResp.StatusCode < http.StatusOK && httpResp.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
@@ -250,6 +258,12 @@
 	return Response{}, errors.New("too many answers belong to other requests")
 }
 
+// statesLeaving reports whether the head of a response states that the instance leaves. Another instance at its address
+// refuses the request as misdirected; what that states is not of the instance.
+func (f *Forwarder) statesLeaving(httpResp *http.Response) bool {
+	return httpResp.StatusCode != http.StatusMisdirectedRequest && httpResp.Header.Get(f.headers.Leaving) == "1"
+}
+
 // skipBody reads the body of a response to another request, and reports whether another response may follow.
 func skipBody(httpResp *http.Response) bool {
 	if httpResp.Close {
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -118,7 +118,7 @@
 func (r *retrier) handleFinished(ctx context.Context, a *attempt) (res result, done bool) {
 	took := r.Clock.Since(a.startedAt)
 	o := r.classify(ctx, a)
-	r.observeLimit(a)
+	r.observeStatements(a)
 	r.Picker.Done(r.route, a.choice, o, took)
 	if usable, _ := r.Tracker.Usable(a.choice.ID); !usable {
 		r.Logger.Info("instance left during request", zap.String("id", r.id), zap.String("instance", a.choice.ID),
@@ -190,10 +190,13 @@
 	return balancer.OutcomeAnswered
 }
 
-// observeLimit records what the response of a finished attempt says about the instance's limit. Only an instance that
-// signed its response stated that it has none.
-func (r *retrier) observeLimit(a *attempt) {
+// observeStatements records what the response of a finished attempt states of the instance, also if the caller does not get
+// the response. Only an instance that signed its response stated that it has no limit.
+func (r *retrier) observeStatements(a *attempt) {
 	resp := a.response
+	if resp.Leaving {
+		r.Tracker.MarkLeaving(a.choice.ID, a.choice.Incarnation)
+	}
 	if a.err != nil || resp.Status == http.StatusMisdirectedRequest || resp.Limit.Invalid || resp.Limit.Rate == 0 && !resp.Signed {
 		return
 	}
@@ -255,7 +258,7 @@
 			if a.err == nil {
 				o = r.classify(context.Background(), a)
 			}
-			r.observeLimit(a)
+			r.observeStatements(a)
 			if a.response.BodyRest != nil {
 				_ = a.response.BodyRest.Close()
 			}
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -99,6 +99,8 @@
 	Usable(instance string) (usable bool, viewAge time.Duration)
 	// MarkMoved marks an instance as no longer present at its address.
 	MarkMoved(id string)
+	// MarkLeaving records that an incarnation of an instance stated in a response that it leaves. It is not picked any more.
+	MarkLeaving(id string, incarnation int64)
 }
 
 // Admitter enforces the rates of client accounts.
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -37,7 +37,9 @@
 	maxIdles    []time.Duration
 	respond     func(n int) (forwarder.Response, error)
 	moved       []string
-	outcomes    []balancer.Outcome
+	// leavings are the incarnations that were marked as leaving.
+	leavings []string
+	outcomes []balancer.Outcome
 	// limits are the limits that were observed, by instance.
 	limits []string
 	// admitSend decides on requests to instances; nil admits all.
@@ -124,6 +126,9 @@
 	f.limits = append(f.limits, fmt.Sprint(id, " ", rate))
 }
 func (f *fixture) MarkMoved(id string) { f.moved = append(f.moved, id) }
+func (f *fixture) MarkLeaving(id string, incarnation int64) {
+	f.leavings = append(f.leavings, fmt.Sprint(id, " ", incarnation))
+}
 func (f *fixture) Admit(context.Context, *router.Account) relayer.Admission {
 	return f.admitted
 }
@@ -134,7 +139,7 @@
 func (f *fixture) Pick(_ string, want balancer.Request) (balancer.Choice, bool) {
 	f.picks++
 	id := []string{"i-1", "i-2", "i-3", "i-4", "i-5", "i-6"}[len(want.Tried)]
-	return balancer.Choice{Instance: balancer.Instance{ID: id}}, true
+	return balancer.Choice{Instance: balancer.Instance{ID: id, Incarnation: 7}}, true
 }
 
 func (f *fixture) TakeRetry(string) bool {
@@ -549,3 +554,24 @@
 	f.serve("/once/", "secret")
 	require.Nil(t, f.sends[3].BodyRest, "memory is given back")
 }
+
+// An instance that leaves states so also in responses that the caller does not get.
+func TestInstanceThatStatesThatItLeavesIsMarked(t *testing.T) {
+	for name, respond := range map[string]func() (forwarder.Response, error){
+		"answer": func() (forwarder.Response, error) { return okResponse(), nil }, "refusal": shed, "broken": broken,
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture()
+			f.respond = func(n int) (forwarder.Response, error) {
+				if n > 1 {
+					return okResponse(), nil
+				}
+				resp, err := respond()
+				resp.Leaving = true
+				return resp, err
+			}
+			require.Equal(t, http.StatusOK, f.serve("/safe/", "secret").Code)
+			require.Equal(t, []string{"i-1 7"}, f.leavings)
+		})
+	}
+}
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -37,10 +37,10 @@
 		sent, r.outgoing = r.outgoing, outbox{}
 		m.Seen = sent.message()
 	}
-	limitsSequence := k.limitsSequence
+	statementsSequence := k.statementsSequence
 	if !leader {
-		observed, n := r.Tracker.ObservedLimits(k.limitsSequence)
-		limitsSequence, m.Limits = n, toLimits(r.Clock.Now(), observed)
+		observed, n := r.Tracker.ObservedStatements(k.statementsSequence)
+		statementsSequence, m.Statements = n, toStatements(r.Clock.Now(), observed)
 	}
 	began := r.Clock.Now()
 	m.LoadsKnown = !leader && began.Sub(k.loadsSentAt) >= fullReportInterval
@@ -57,9 +57,9 @@
 		k.loadsSentAt = began
 	}
 	if k.incarnation != 0 && k.incarnation != b.GetIncarnation() {
-		limitsSequence = 0 // The peer started again and has only the latest changes.
+		statementsSequence = 0 // The peer started again and has only the latest changes.
 	}
-	k.limitsSequence = limitsSequence
+	k.statementsSequence = statementsSequence
 	r.applyBeliefs(to, leader, began, k, b)
 	if !leader && b.GetConfigurationKnown() && b.GetInstancesKnown() {
 		r.heardLeader.Store(true)
@@ -129,7 +129,7 @@
 		instances.Entries = append(instances.Entries, e)
 	}
 	r.Tracker.MergeInstances(from.Address, instances)
-	r.Tracker.MergeLimits(from.Address.String(), fromLimits(now, sent, b.GetLimits()))
+	r.Tracker.MergeStatements(from.Address.String(), fromStatements(now, sent, b.GetStatements()))
 	r.applyVersion(from.Address, b, sent)
 	for _, m := range b.GetMembers() {
 		vm, err := messenger.FromVM(m.GetVm())
@@ -234,7 +234,7 @@
 		r.peerLoads.set(from.Address, loadReport{decodeLoads(m.GetLoads()), began, false})
 	}
 	r.distribute(from.Address, false, m.GetSeen())
-	r.Tracker.MergeLimits(from.Address.String(), fromLimits(began, began, m.GetLimits()))
+	r.Tracker.MergeStatements(from.Address.String(), fromStatements(began, began, m.GetStatements()))
 	sequence := m.GetSequence()
 	if m.GetIncarnation() != r.Self.Incarnation {
 		sequence = 0
@@ -350,7 +350,7 @@
 			Vm: messenger.ToVM(m.VM), Role: uint32(m.Role), Capacity: m.Capacity, AgeMs: ageMs(now, m.AsOf),
 		})
 	}
-	rep.Limits = toLimits(now, c.Limits)
+	rep.Statements = toStatements(now, c.Statements)
 	return rep
 }
 
@@ -375,10 +375,10 @@
 func fromRegistration(now time.Time, m *wire.Registration) (tracker.Entry, error) {
 	e := tracker.Entry{
 		Instance: balancer.Instance{
-			ID: m.GetId(), Service: m.GetService(), Domain: m.GetDomain(), Slots: int(m.GetSlots()),
+			ID: m.GetId(), Incarnation: m.GetBorn(), Service: m.GetService(), Domain: m.GetDomain(), Slots: int(m.GetSlots()),
 			WarmAt: now.Add(time.Duration(m.GetWarmingMs()) * time.Millisecond),
 		},
-		Condition: tracker.Condition(m.GetCondition()), Incarnation: m.GetBorn(), SequenceNumber: m.GetBeat(), Offset: m.GetOffset(),
+		Condition: tracker.Condition(m.GetCondition()), SequenceNumber: m.GetBeat(), Offset: m.GetOffset(),
 	}
 	return e, errors.Wrap(e.Address.UnmarshalBinary(m.GetAddress()), "decode address of instance")
 }
--- a/internal/relayer/leader_bench_test.go
+++ b/internal/relayer/leader_bench_test.go
@@ -38,8 +38,8 @@
 	for i := range instances {
 		id := fmt.Sprintf("i-%010x", i)
 		entries = append(entries, tracker.Entry{Instance: balancer.Instance{
-			ID: id, Service: "s", Domain: "d", Slots: 4, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, byte(i / 200), byte(i % 200)}), 1),
-		}, SequenceNumber: 1, Incarnation: 1, Offset: uint64(i)})
+			ID: id, Incarnation: 1, Service: "s", Domain: "d", Slots: 4, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, byte(i / 200), byte(i % 200)}), 1),
+		}, SequenceNumber: 1, Offset: uint64(i)})
 		if i%20 == 0 {
 			loads = append(loads, &wire.Load{Instance: id, Running: 1})
 		}
--- a/internal/relayer/limits.go
+++ b/internal/relayer/limits.go
@@ -55,7 +55,7 @@
 		t, err = r.limits.grant(instance)
 	} else {
 		t, err = r.takeFromOwner(ctx, o, &wire.Request{Body: &wire.Request_TakeSend{
-			TakeSend: &wire.TakeSend{Limit: toLimit(r.Clock.Now(), l)},
+			TakeSend: &wire.TakeSend{Limit: toStatement(r.Clock.Now(), l)},
 		}})
 	}
 	if err != nil {
@@ -85,7 +85,7 @@
 
 // handleTakeSend decides on a request of a peer to an instance whose limit this VM owns. The peer may know a later limit.
 func (r *Relayer) handleTakeSend(from placer.VM, m *wire.TakeSend) (*wire.Taken, error) {
-	r.Tracker.MergeLimits(from.Address.String(), []tracker.Limit{fromLimit(r.Clock.Now(), m.GetLimit())})
+	r.Tracker.MergeStatements(from.Address.String(), []tracker.Statement{fromStatement(r.Clock.Now(), m.GetLimit())})
 	return r.limits.grant(m.GetLimit().GetInstance())
 }
 
@@ -133,36 +133,36 @@
 	}
 }
 
-func toLimit(now time.Time, l tracker.Limit) *wire.Limit {
-	return &wire.Limit{Instance: l.Instance, Incarnation: l.Incarnation, Rate: l.Rate, AgeMs: ageMs(now, l.AsOf)}
+func toStatement(now time.Time, l tracker.Statement) *wire.Statement {
+	return &wire.Statement{Instance: l.Instance, Incarnation: l.Incarnation, Rate: l.Rate, AgeMs: ageMs(now, l.AsOf), Leaving: l.Leaving}
 }
 
-// fromLimit is the inverse of toLimit. The time that the message took is unknown, so a limit seems later than it is.
-func fromLimit(now time.Time, m *wire.Limit) tracker.Limit {
-	return tracker.Limit{
+// fromStatement is the inverse of toStatement. The time that the message took is unknown, so a limit seems later than it is.
+func fromStatement(now time.Time, m *wire.Statement) tracker.Statement {
+	return tracker.Statement{
 		Instance: m.GetInstance(), Incarnation: m.GetIncarnation(), Rate: m.GetRate(),
-		AsOf: now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond),
+		AsOf: now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond), Leaving: m.GetLeaving(),
 	}
 }
 
-// fromLimits decodes limits in a message that was sent at the given time or later. The end of a limit must not seem later
+// fromStatements decodes limits in a message that was sent at the given time or later. The end of a limit must not seem later
 // than it is, else it could hide a limit that came after it.
-func fromLimits(now, sent time.Time, ms []*wire.Limit) []tracker.Limit {
-	ls := make([]tracker.Limit, 0, len(ms))
+func fromStatements(now, sent time.Time, ms []*wire.Statement) []tracker.Statement {
+	ls := make([]tracker.Statement, 0, len(ms))
 	for _, m := range ms {
 		at := now
 		if m.GetRate() == 0 {
 			at = sent
 		}
-		ls = append(ls, fromLimit(at, m))
+		ls = append(ls, fromStatement(at, m))
 	}
 	return ls
 }
 
-func toLimits(now time.Time, ls []tracker.Limit) []*wire.Limit {
-	ms := make([]*wire.Limit, 0, len(ls))
+func toStatements(now time.Time, ls []tracker.Statement) []*wire.Statement {
+	ms := make([]*wire.Statement, 0, len(ls))
 	for _, l := range ls {
-		ms = append(ms, toLimit(now, l))
+		ms = append(ms, toStatement(now, l))
 	}
 	return ms
 }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -111,8 +111,8 @@
 	sequence    uint64
 	// loadsSentAt is when this VM's loads were last sent to the peer.
 	loadsSentAt time.Time
-	// limitsSequence is the tracker's sequence number up to which the peer has the limits that this VM observed.
-	limitsSequence uint64
+	// statementsSequence is the tracker's sequence number up to which the peer has the limits that this VM observed.
+	statementsSequence uint64
 }
 
 // New returns a relayer; Run starts it.
--- a/internal/tracker/changelog.go
+++ b/internal/tracker/changelog.go
@@ -15,10 +15,10 @@
 
 // changeEntry is one change. Only one of its pointers is set; what it points to may have changed again since.
 type changeEntry struct {
-	sequence uint64
-	record   *record
-	member   *member
-	limit    *limitRecord
+	sequence  uint64
+	record    *record
+	member    *member
+	statement *statementRecord
 }
 
 // minChangeLog is the number of changes that are kept at least.
@@ -50,13 +50,15 @@
 // markChanged records a change of a registration, a VM or a limit, and returns its sequence number. t.mu must be held.
 func (t *Tracker) markChanged(e changeEntry) uint64 {
 	e.sequence = t.recordChange()
-	t.log.add(e, len(t.records)+len(t.members)+len(t.limits))
+	t.log.add(e, len(t.records)+len(t.members)+len(t.statements))
 	return e.sequence
 }
 
-func (t *Tracker) markRecord(r *record)     { r.sequence = t.markChanged(changeEntry{record: r}) }
-func (t *Tracker) markMember(m *member)     { m.sequence = t.markChanged(changeEntry{member: m}) }
-func (t *Tracker) markLimit(l *limitRecord) { l.sequence = t.markChanged(changeEntry{limit: l}) }
+func (t *Tracker) markRecord(r *record) { r.sequence = t.markChanged(changeEntry{record: r}) }
+func (t *Tracker) markMember(m *member) { m.sequence = t.markChanged(changeEntry{member: m}) }
+func (t *Tracker) markStatement(l *statementRecord) {
+	l.sequence = t.markChanged(changeEntry{statement: l})
+}
 
 // appendChanges appends the registrations, VMs and limits that changed after a sequence number. t.mu must be held.
 func (t *Tracker) appendChanges(c *Changes, sequence uint64) {
@@ -71,8 +73,8 @@
 			c.Entries = append(c.Entries, e.record.current())
 		case e.member != nil && e.member.sequence == e.sequence:
 			c.Members = append(c.Members, e.member.Member)
-		case e.limit != nil && e.limit.sequence == e.sequence && t.limits[e.limit.Instance] == e.limit:
-			c.Limits = append(c.Limits, e.limit.Limit)
+		case e.statement != nil && e.statement.sequence == e.sequence && t.statements[e.statement.Instance] == e.statement:
+			c.Statements = append(c.Statements, e.statement.Statement)
 		}
 	}
 }
@@ -89,9 +91,9 @@
 			c.Members = append(c.Members, m.Member)
 		}
 	}
-	for _, l := range t.limits {
+	for _, l := range t.statements {
 		if l.sequence > sequence {
-			c.Limits = append(c.Limits, l.Limit)
+			c.Statements = append(c.Statements, l.Statement)
 		}
 	}
 }
--- a/internal/tracker/changelog_test.go
+++ b/internal/tracker/changelog_test.go
@@ -25,7 +25,7 @@
 			clock.Advance(time.Second)
 			offset++
 			n := rapid.IntRange(0, 5).Draw(t, "number")
-			e := Entry{Instance: balancer.Instance{ID: fmt.Sprint("i", n), Slots: 1 + step%3}, Incarnation: 1, SequenceNumber: int64(step), Offset: offset}
+			e := Entry{Instance: balancer.Instance{ID: fmt.Sprint("i", n), Incarnation: 1, Slots: 1 + step%3}, SequenceNumber: int64(step), Offset: offset}
 			switch rapid.IntRange(0, 5).Draw(t, "change") {
 			case 0, 1:
 				tr.ApplyRegistrations(clock.Now(), []Entry{e}, false, offset+1)
@@ -53,7 +53,7 @@
 			}
 			require.ElementsMatch(t, want.Entries, got.Entries)
 			require.ElementsMatch(t, want.Members, got.Members)
-			require.ElementsMatch(t, want.Limits, got.Limits)
+			require.ElementsMatch(t, want.Statements, got.Statements)
 			require.LessOrEqual(t, len(tr.log.entries), 2*3*6+minChangeLog)
 		}
 	})
--- a/internal/tracker/entry.go
+++ b/internal/tracker/entry.go
@@ -26,9 +26,7 @@
 type Entry struct {
 	balancer.Instance
 	Condition Condition `json:"condition"`
-	// Incarnation and SequenceNumber order the registrations of an instance: its start time as the instance reports it,
-	// and a sequence number since then.
-	Incarnation    int64 `json:"born"`
+	// SequenceNumber orders the registrations of an incarnation of the instance.
 	SequenceNumber int64 `json:"beat"`
 	// Offset is the position of the record in the registry, as the function Offset returns it.
 	Offset uint64 `json:"offset"`
--- a/internal/tracker/instances.go
+++ b/internal/tracker/instances.go
@@ -205,7 +205,7 @@
 func (t *Tracker) expire() bool {
 	now := t.clock.Now()
 	changed := false
-	t.expireLimits(now)
+	t.expireStatements(now)
 	if !t.mayExpire {
 		return false
 	}
@@ -255,7 +255,7 @@
 	defer t.mu.Unlock()
 	var is []balancer.Instance
 	for _, r := range t.records {
-		if r.usable() {
+		if r.usable() && !t.leaves(r) {
 			i := r.Instance
 			i.Limit = t.limitRate(i.ID)
 			is = append(is, i)
@@ -269,7 +269,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.records[id]
-	return r != nil && r.usable(), t.clock.Since(t.entriesReadAt)
+	return r != nil && r.usable() && !t.leaves(r), t.clock.Since(t.entriesReadAt)
 }
 
 // Entries returns the entries of all known instances, in no particular order.
--- a/internal/tracker/limits_test.go
+++ b/internal/tracker/statements_test.go
@@ -20,7 +20,7 @@
 // relayLimits gives to what from knows of limits, as an exchange does.
 func relayLimits(from, to *tracker.Tracker) {
 	c, _ := from.ChangesSince(0)
-	to.MergeLimits("peer", c.Limits)
+	to.MergeStatements("peer", c.Statements)
 }
 
 // observe records a response that came within 100 ms.
@@ -58,8 +58,8 @@
 	before, _ := b.ChangesSince(0)
 	relayLimits(d, b)
 	after, _ := b.ChangesSince(before.Sequence)
-	require.Len(t, after.Limits, 1, "the peer is told of the later statement")
-	d.MergeLimits("peer", after.Limits)
+	require.Len(t, after.Statements, 1, "the peer is told of the later statement")
+	d.MergeStatements("peer", after.Statements)
 	require.Zero(t, limitOf(d))
 }
 
@@ -77,19 +77,70 @@
 	require.InDelta(t, 4, tr.UsableInstances()[0].Limit, 0)
 }
 
+// An instance that cannot reach the registry states in its responses alone that it leaves.
+func TestInstanceThatStatedThatItLeavesIsNotUsable(t *testing.T) {
+	tr, c := newTracker()
+	notified := 0
+	tr.OnInstancesChange(func() { notified++ })
+	e := entry("i", 1, tracker.ConditionReady)
+	tr.ApplyRegistrations(c.Now(), []tracker.Entry{e}, true, 2)
+	before := notified
+	tr.MarkLeaving("i", e.Incarnation-1)
+	require.Equal(t, 1, usable(tr), "its predecessor left")
+	tr.MarkLeaving("i", e.Incarnation)
+	require.Zero(t, usable(tr))
+	require.Greater(t, notified, before)
+	e.SequenceNumber, e.Offset = 2, 2
+	tr.ApplyRegistrations(c.Now(), []tracker.Entry{e}, false, 3)
+	observe(tr, c, 5)
+	c.Advance(time.Second)
+	observe(tr, c, 0)
+	require.Zero(t, usable(tr), "neither a heartbeat nor a response without the statement takes it back")
+	e.Incarnation, e.SequenceNumber, e.Offset = 2, 1, 3
+	tr.ApplyRegistrations(c.Now(), []tracker.Entry{e}, false, 4)
+	require.Equal(t, 1, usable(tr), "it started again")
+	tr.MarkLeaving("i", 1)
+	require.Equal(t, 1, usable(tr), "a late response of the earlier incarnation")
+}
+
+// Other VMs must not learn each for itself that an instance leaves.
+func TestLeavingIsRelayed(t *testing.T) {
+	a, c := newTracker()
+	b, d := tracker.New(c, zap.NewNop()), tracker.New(c, zap.NewNop())
+	e := entry("i", 1, tracker.ConditionReady)
+	for _, tr := range []*tracker.Tracker{a, b, d} {
+		tr.ApplyRegistrations(c.Now(), []tracker.Entry{e}, true, 2)
+	}
+	observe(a, c, 5)
+	relayLimits(a, b)
+	a.MarkLeaving("i", e.Incarnation)
+	ss, _ := a.ObservedStatements(0)
+	require.Len(t, ss, 1)
+	require.True(t, ss[0].Leaving)
+	c.Advance(time.Second)
+	observe(b, c, 3)
+	relayLimits(a, b)
+	require.Zero(t, usable(b))
+	require.InDelta(t, 3, limitOf(b), 0, "its limit is the later one")
+	relayLimits(b, d)
+	require.Zero(t, usable(d))
+	relayLimits(d, a)
+	require.Zero(t, usable(a))
+}
+
 func TestObservedLimitsAreThoseOfOwnResponses(t *testing.T) {
 	a, c := newTracker()
 	b := tracker.New(c, zap.NewNop())
 	observe(a, c, 5)
-	ls, n := a.ObservedLimits(0)
+	ls, n := a.ObservedStatements(0)
 	require.Len(t, ls, 1)
-	ls, _ = a.ObservedLimits(n)
+	ls, _ = a.ObservedStatements(n)
 	require.Empty(t, ls)
 	relayLimits(a, b)
-	ls, _ = b.ObservedLimits(0)
+	ls, _ = b.ObservedStatements(0)
 	require.Empty(t, ls)
 	c.Advance(time.Second)
 	observe(b, c, 3)
-	ls, _ = b.ObservedLimits(0)
+	ls, _ = b.ObservedStatements(0)
 	require.Len(t, ls, 1)
 }
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -46,9 +46,9 @@
 	records    map[string]*record
 	// mayExpire is set if a registration has ended, or an instance is in use until the end of its grace period: expire has
 	// nothing to do otherwise.
-	mayExpire bool
-	limits    map[string]*limitRecord
-	members   map[netip.AddrPort]*member
+	mayExpire  bool
+	statements map[string]*statementRecord
+	members    map[netip.AddrPort]*member
 	// membersKnown is set once the store's list of VMs was read.
 	membersKnown bool
 	// sortedMembers are the members in order of address; nil after a change. The slice is never modified once it is
@@ -72,7 +72,7 @@
 // New returns a tracker that knows nothing.
 func New(clock clockwork.Clock, logger *zap.Logger) *Tracker {
 	return &Tracker{
-		clock: clock, logger: logger, records: map[string]*record{}, limits: map[string]*limitRecord{}, members: map[netip.AddrPort]*member{},
+		clock: clock, logger: logger, records: map[string]*record{}, statements: map[string]*statementRecord{}, members: map[netip.AddrPort]*member{},
 		changed: make(chan struct{}), viewed: make(chan struct{}), onInstancesChange: func() {},
 	}
 }
@@ -270,9 +270,9 @@
 	// Complete says that Entries are those of all instances, not only of those that changed.
 	Complete bool
 	// End is the offset up to which the sender's records cover the registry; zero if unknown.
-	End     uint64
-	Members []Member
-	Limits  []Limit
+	End        uint64
+	Members    []Member
+	Statements []Statement
 	// TableReadAt and EntriesReadAt are the start times of the reads that confirmed the configuration and the
 	// instances; zero if there were none.
 	TableReadAt, EntriesReadAt time.Time
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -27,8 +27,8 @@
 
 func entry(id string, beat int64, c tracker.Condition) tracker.Entry {
 	return tracker.Entry{
-		Instance:    balancer.Instance{ID: id, Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:80"), Slots: 4},
-		Incarnation: 1, SequenceNumber: beat, Condition: c, Offset: uint64(beat),
+		Instance:       balancer.Instance{ID: id, Incarnation: 1, Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:80"), Slots: 4},
+		SequenceNumber: beat, Condition: c, Offset: uint64(beat),
 	}
 }
 
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -76,11 +76,13 @@
 
 // Instance is one instance of a service.
 type Instance struct {
-	ID      string         `json:"id"`
-	Service string         `json:"service"`
-	Address netip.AddrPort `json:"address"`
-	Domain  string         `json:"domain"`
-	Slots   int            `json:"slots"`
+	ID string `json:"id"`
+	// Incarnation is the start time of the instance as it reports it; an instance may start again under its ID.
+	Incarnation int64          `json:"born"`
+	Service     string         `json:"service"`
+	Address     netip.AddrPort `json:"address"`
+	Domain      string         `json:"domain"`
+	Slots       int            `json:"slots"`
 	// WarmAt is when the instance reaches its full speed.
 	WarmAt time.Time `json:"warmAt,omitzero"`
 	// Limit is the request rate that the instance accepts from all processes together, in requests per second; zero if it
