Take callers' limits when they are needed, not when they connect

Cause: net/http takes the limits from a connection's server, and each change made a new server for later connections only. HeaderTimeoutS, IdleTimeoutS and lowered limits stood on the same path. The old servers stayed until the process ended.

One server now serves all connections and has no limits of its own. Each connection counts the bytes of a head and sets its deadlines by the limits in force at that moment, while it waits for its caller; a request that is served is not touched. A stop closes idle connections itself, so that a request whose head was read in part still gets its answer; Shutdown would have closed it.

--- /dev/null
+++ b/internal/runner/frontend.go
@@ -0,0 +1,145 @@
+package runner
+
+import (
+	"context"
+	"io"
+	"log"
+	"math"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/jacinthproxy/jacinthproxy/internal/router"
+)
+
+// stopPollInterval is the time between checks whether the requests in flight have finished.
+const stopPollInterval = 20 * time.Millisecond
+
+// frontend accepts and serves callers' connections. The limits of a request are those in force when it begins.
+type frontend struct {
+	net.Listener
+	server http.Server
+	limits func() router.Limits
+
+	mu       sync.Mutex
+	conns    map[*callerConn]struct{}
+	stopping bool
+	// applied are the limits that the deadlines of the connections were last computed with.
+	applied router.Limits
+}
+
+func newFrontend(l net.Listener, h http.Handler, limits func() router.Limits) *frontend {
+	f := &frontend{Listener: l, limits: limits, conns: map[*callerConn]struct{}{}, applied: limits()}
+	f.server = http.Server{ //nolint:gosec // The connections bound the time of a head.
+		Handler: h, ConnState: f.setState,
+		MaxHeaderBytes: math.MaxInt32, // The connections enforce the limits.
+		// net/http would log connections that callers abort; the receiver logs requests.
+		ErrorLog: log.New(io.Discard, "", 0),
+	}
+	return f
+}
+
+// Run accepts connections until the listener is closed.
+func (f *frontend) Run() error {
+	err := f.server.Serve(f)
+	if errors.Is(err, net.ErrClosed) || errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "accept connection from caller")
+}
+
+// Accept implements net.Listener.
+func (f *frontend) Accept() (net.Conn, error) {
+	nc, err := f.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := newCallerConn(nc, f.limits)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.conns[c] = struct{}{}
+	return c, nil
+}
+
+// setState is called by the server when the state of a connection changes.
+func (f *frontend) setState(nc net.Conn, s http.ConnState) {
+	c, ok := nc.(*callerConn)
+	if !ok {
+		return
+	}
+	switch s {
+	case http.StateNew:
+	case http.StateActive:
+		c.setPhase(phaseServing)
+	case http.StateIdle:
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if f.stopping {
+			_ = c.Close()
+			return
+		}
+		c.setPhase(phaseIdle)
+	case http.StateHijacked, http.StateClosed:
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.conns, c)
+	}
+}
+
+// ApplyLimits applies changed timeouts to connections that wait for their caller.
+func (f *frontend) ApplyLimits() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	l := f.limits()
+	if l == f.applied {
+		return
+	}
+	f.applied = l
+	for c := range f.conns {
+		c.updateDeadline()
+	}
+}
+
+// Stop closes the listener and idle connections, and waits until the requests in flight have finished or the context ends.
+// The handler must close the connections of requests that it still answers.
+func (f *frontend) Stop(ctx context.Context) error {
+	err := f.Close()
+	f.mu.Lock()
+	f.stopping = true
+	for c := range f.conns {
+		if c.currentPhase() == phaseIdle {
+			_ = c.Close()
+		}
+	}
+	f.mu.Unlock()
+	tick := time.NewTicker(stopPollInterval)
+	defer tick.Stop()
+	busy := f.busy()
+	for busy > 0 && ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-tick.C:
+		}
+		busy = f.busy()
+	}
+	if busy > 0 {
+		err = errors.CombineErrors(err, errors.Newf("%d requests in flight were cut", busy))
+	}
+	return errors.CombineErrors(err, f.server.Close())
+}
+
+// busy returns the number of connections with a request that is read or served.
+func (f *frontend) busy() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for c := range f.conns {
+		if p := c.currentPhase(); p == phaseReading || p == phaseServing {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -234,6 +234,7 @@
 		case <-readyCheck.Chan():
 			r.updateReadiness()
 		case <-sweep.Chan():
+			r.frontend.ApplyLimits()
 			r.forwarder.CloseUnused(r.picker.HasAddress)
 			r.messenger.CloseIdle(peerIdleTimeout)
 		case <-summary.Chan():
