Send nothing to an instance for as long as it asked

Instances that rejected requests with 503 and Retry-After went on getting them: 42 in 2.5 s from two VMs, two from each are allowed.

Cause: nothing read Retry-After of an instance's response. A refusal made the instance dearer for 0.3 s, and for trials not even that.

The forwarder reads it from a 503 that belongs to the request, also if the body is cut. The balancer then leaves that incarnation out of all choices: trials, hedges, repeats and the choice of last resort. A pause outlasts a moment in which the instance is not listed. If only paused instances are left, a request is rejected at once with the earliest end as Retry-After.

--- a/cmd/standin/emulator/instance.go
+++ b/cmd/standin/emulator/instance.go
@@ -136,6 +136,13 @@
 	}
 }
 
+// Rejected returns how many requests the instance rejected.
+func (i *Instance) Rejected() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.rejected
+}
+
 // rejectLast removes the last request from the executed ones and counts it as rejected.
 func (i *Instance) rejectLast() {
 	i.mu.Lock()
@@ -216,6 +223,15 @@
 	return c.Conn.Write(b)
 }
 
+// Pause returns a behavior that rejects the request with 503 and asks for no requests for the given time.
+func Pause(d time.Duration) Behavior {
+	return func(c net.Conn, r *http.Request, i *Instance) {
+		i.rejectLast()
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRequest-Id: %s\r\nRetry-After: %g\r\nContent-Length: 0\r\n\r\n",
+			r.Header.Get("Request-Id"), d.Seconds())
+	}
+}
+
 // Refuse rejects the request with 503 and does not execute it, as Shed does, and names the request in the response.
 func Refuse(c net.Conn, r *http.Request, i *Instance) {
 	i.rejectLast()
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -84,6 +84,9 @@
 	Limit Limit
 	// Leaving is set if the instance stated that it leaves. It also holds for a response that is returned with an error.
 	Leaving bool
+	// Pause is how long the instance wants no requests from this VM; zero if it stated none. It also holds for a response that
+	// is returned with an error.
+	Pause time.Duration
 	// Reused is set if the connection had carried other requests before.
 	Reused bool
 }
@@ -126,7 +129,7 @@
 		if ctx.Err() != nil {
 			err = errors.Mark(err, ctx.Err())
 		}
-		return Response{Leaving: resp.Leaving}, err
+		return Response{Leaving: resp.Leaving, Pause: resp.Pause}, err
 	}
 	resp.Reused = c.requests > 1
 	if resp.BodyRest != nil {
@@ -233,8 +236,8 @@
 // readResponse reads the response to a request and skips interim responses and responses to earlier requests. What these
 // state of the instance holds all the same.
 func (f *Forwarder) readResponse(c *conn, r Request) (resp Response, err error) {
-	leaving := false
-	defer func() { resp.Leaving = leaving }()
+	leaving, pause := false, time.Duration(0)
+	defer func() { resp.Leaving, resp.Pause = leaving, pause }()
 	for range maxResponsesRead {
 		c.in.limit(maxHeadBytes)
 		httpResp, err := http.ReadResponse(c.r, &http.Request{Method: r.Method}) //nolint:bodyclose // Reading to its end or closing the connection ends it.
@@ -253,6 +256,9 @@
 			}
 			continue
 		}
+		if httpResp.StatusCode == http.StatusServiceUnavailable {
+			pause = parseRetryAfter(httpResp.Header.Get("Retry-After"))
+		}
 		return f.readBody(c, r, httpResp, id)
 	}
 	return Response{}, errors.New("too many answers belong to other requests")
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -141,6 +141,13 @@
 	}
 }
 
+// Pause keeps all requests away from the instance of a choice for the given time.
+func (p *Picker) Pause(c balancer.Choice, d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.service(c.Service).balancer.Pause(c, p.Clock.Now().Add(d))
+}
+
 // NextAvailable returns the time until an instance of a service that is not available now may be picked for a request; ok
 // is false if there is none.
 func (p *Picker) NextAvailable(name string, r balancer.Request) (wait time.Duration, ok bool) {
--- a/internal/receiver/choose.go
+++ b/internal/receiver/choose.go
@@ -94,7 +94,7 @@
 	}
 	wait = max(wait, limitPause)
 	if len(r.inFlight) > 0 || r.Clock.Now().Add(wait).After(until) {
-		r.detail = "the limits of the instances are reached"
+		r.detail = "the instances take no request now"
 		if r.mayHaveRun || r.sent > 0 {
 			return r.giveUp(), false
 		}
--- a/internal/receiver/reason.go
+++ b/internal/receiver/reason.go
@@ -27,7 +27,7 @@
 	ReasonTooLarge
 	// ReasonNoInstance means that no instance was left to try or none could be reached; none ran the request.
 	ReasonNoInstance
-	// ReasonLimited means that the limits of all usable instances were reached; none ran the request.
+	// ReasonLimited means that the limits of all usable instances were reached, or they wanted no requests; none ran it.
 	ReasonLimited
 	// ReasonShed means that instances refused the request and no retry was left; none ran it.
 	ReasonShed
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -126,6 +126,8 @@
 	Pick(service string, r balancer.Request) (balancer.Choice, bool)
 	// Release ends a choice of Pick for which no request was sent. The instance is not picked again for the given time.
 	Release(c balancer.Choice, pause time.Duration)
+	// Pause keeps all requests away from the instance of a choice for the given time.
+	Pause(c balancer.Choice, d time.Duration)
 	// NextAvailable returns the time until an instance of a service that is not available now may be picked for a request;
 	// ok is false if there is none.
 	NextAvailable(service string, r balancer.Request) (wait time.Duration, ok bool)
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -40,6 +40,8 @@
 	// leavings are the incarnations that were marked as leaving.
 	leavings []string
 	outcomes []balancer.Outcome
+	// pauses are those that instances asked for.
+	pauses []string
 	// limits are the limits that were observed, by instance.
 	limits []string
 	// admitSend decides on requests to instances; nil admits all.
@@ -119,6 +121,9 @@
 func (f *fixture) Release(c balancer.Choice, pause time.Duration) {
 	f.released = append(f.released, fmt.Sprint(c.ID, " ", pause))
 }
+func (f *fixture) Pause(c balancer.Choice, d time.Duration) {
+	f.pauses = append(f.pauses, fmt.Sprint(c.ID, " ", d))
+}
 func (f *fixture) NextAvailable(string, balancer.Request) (time.Duration, bool) {
 	return f.nextAvailable, f.nextAvailable > 0
 }
@@ -555,8 +560,8 @@
 	require.Nil(t, f.sends[3].BodyRest, "memory is given back")
 }
 
-// An instance that leaves states so also in responses that the caller does not get.
-func TestInstanceThatStatesThatItLeavesIsMarked(t *testing.T) {
+// What an instance states holds also if the caller does not get the response.
+func TestStatementsOfInstancesAreObserved(t *testing.T) {
 	for name, respond := range map[string]func() (forwarder.Response, error){
 		"answer": func() (forwarder.Response, error) { return okResponse(), nil }, "refusal": shed, "broken": broken,
 	} {
@@ -567,11 +572,12 @@
 					return okResponse(), nil
 				}
 				resp, err := respond()
-				resp.Leaving = true
+				resp.Leaving, resp.Pause = true, 3*time.Second
 				return resp, err
 			}
 			require.Equal(t, http.StatusOK, f.serve("/safe/", "secret").Code)
 			require.Equal(t, []string{"i-1 7"}, f.leavings)
+			require.Equal(t, []string{"i-1 3s"}, f.pauses)
 		})
 	}
 }
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -114,6 +114,8 @@
 	fullUntil time.Time
 	// withheldUntil is the end of the time for which the instance is not picked because its limit is reached.
 	withheldUntil time.Time
+	// pausedUntil is the end of the time for which the instance wants no requests.
+	pausedUntil time.Time
 	// suspect is true while the instance is out of use because of its evidence.
 	suspect bool
 }
@@ -130,13 +132,15 @@
 	refreshedAt time.Time
 	// limited is set if any instance has a limit.
 	limited bool
+	// pauses are those that instances asked for, by ID. They outlast a time in which an instance is not in the list.
+	pauses map[string]pause
 	// dueTrials is a buffer that pickTrial reuses.
 	dueTrials []*state
 }
 
 // New returns a balancer without instances, for a process in the given failure domain.
 func New(domain string, r *rand.Rand) *Balancer {
-	return &Balancer{domain: domain, random: r, instances: map[string]*state{}}
+	return &Balancer{domain: domain, random: r, instances: map[string]*state{}, pauses: map[string]pause{}}
 }
 
 // SetInstances replaces the instances that may be used. An instance that was in the previous list with the same address
@@ -151,10 +155,12 @@
 			s = &state{relativeLatency: 1, decayedAt: now, lastActivityAt: now}
 		}
 		s.Instance = i
+		s.pausedUntil = b.pauseOf(i)
 		next[i.ID] = s
 		b.order = append(b.order, s)
 	}
 	b.instances, b.refreshedAt = next, time.Time{}
+	b.dropPauses(now)
 	slices.SortFunc(b.order, func(x, y *state) int { return cmp.Compare(x.ID, y.ID) })
 }
 
@@ -239,7 +245,7 @@
 	lowest := math.Inf(1)
 	later := false
 	for _, s := range b.order {
-		if slices.Contains(r.Tried, s.ID) {
+		if slices.Contains(r.Tried, s.ID) || now.Before(s.pausedUntil) {
 			continue
 		}
 		if !b.hasRoom(now, s, r) {
--- a/pkg/balancer/limits.go
+++ b/pkg/balancer/limits.go
@@ -12,8 +12,11 @@
 	fullRetryInterval = 30 * time.Millisecond
 )
 
-// hasRoom reports whether a request may be sent to an instance now as far as limits are concerned.
+// hasRoom reports whether a request may be sent to an instance now as far as limits and pauses are concerned.
 func (b *Balancer) hasRoom(now time.Time, s *state, r Request) bool {
+	if now.Before(s.pausedUntil) {
+		return false
+	}
 	if s.Limit > 0 {
 		return !r.AvoidLimited && !now.Before(s.withheldUntil)
 	}
@@ -44,6 +47,9 @@
 		if s.Limit > 0 {
 			next = s.withheldUntil
 		}
+		if next.Before(s.pausedUntil) {
+			next = s.pausedUntil
+		}
 		if !ok || next.Before(at) {
 			at, ok = next, true
 		}
