Bound the memory of response bodies over all requests

An instance that sends bytes without end could take 256 KB of memory for each request until its caller had read them: 100 requests held 26 MB, and a VM takes some 2,000.

Cause: a bound for each response, and none for their sum.

Bodies of more than 8 KB now reserve their part of an eighth of the VM's memory, and give it back when the response is closed. Without a part a signed response is streamed, and any other fails.

TestManyEndlessResponsesAreBoundedTogether failed before (26,214,500 bytes held, 1,867,876 allowed).

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -24,6 +24,8 @@
 	// maxBufferedBody is the longest response body that is buffered until it is complete, in bytes; longer ones are
 	// streamed.
 	maxBufferedBody = 256 << 10
+	// smallBody is the length up to which a response body is buffered without a reservation of memory, in bytes.
+	smallBody = 8 << 10
 	// maxHeadBytes bounds the status line and the headers of a response, in bytes.
 	maxHeadBytes = 64 << 10
 	// maxResponsesRead bounds the responses that are read for one request. Interim responses and responses to earlier
@@ -89,6 +91,17 @@
 	Pause time.Duration
 	// Reused is set if the connection had carried other requests before.
 	Reused bool
+	// hold is the memory reserved for Body; nil if there is none.
+	hold *hold
+}
+
+// Close gives back what the response holds: its connection if BodyRest is set, and memory. It may be called more than once.
+func (r Response) Close() error {
+	r.hold.release()
+	if r.BodyRest == nil {
+		return nil
+	}
+	return r.BodyRest.Close()
 }
 
 // Forwarder sends requests and keeps idle connections for reuse.
@@ -97,12 +110,14 @@
 	clock   clockwork.Clock
 	pool    *pool
 	dialer  net.Dialer
+	memory  memory
 }
 
-// New returns a Forwarder; maxIdle bounds the idle connections that it keeps open.
-func New(h HeaderNames, maxIdle int, clock clockwork.Clock) *Forwarder {
+// New returns a Forwarder. MaxIdle bounds the idle connections that it keeps open, and maxBodyMemory the memory for buffered
+// response bodies that are not small, in bytes; beyond it, bodies are streamed.
+func New(h HeaderNames, maxIdle int, maxBodyMemory int64, clock clockwork.Clock) *Forwarder {
 	return &Forwarder{
-		headers: h, clock: clock, pool: newPool(maxIdle, clock),
+		headers: h, clock: clock, pool: newPool(maxIdle, clock), memory: memory{max: maxBodyMemory},
 		dialer: net.Dialer{Timeout: ConnectTimeout, Control: setUserTimeout},
 	}
 }
@@ -113,7 +128,7 @@
 // Stats returns how many connections were opened so far, and how many idle ones are kept.
 func (f *Forwarder) Stats() (opened int64, idle int) { return f.pool.stats() }
 
-// Send sends a request and returns the response. MaxIdle is how long a kept connection may have been idle to be
+// Send sends a request and returns the response, which must be closed. MaxIdle is how long a kept connection may have been idle to be
 // reused; zero opens a new one. When the context ends, Send closes the connection, which cancels the request at
 // the instance; the returned error is then also marked with the context's error.
 func (f *Forwarder) Send(ctx context.Context, addr netip.AddrPort, r Request, maxIdle time.Duration) (Response, error) {
@@ -124,6 +139,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	resp, err := f.roundTrip(c, r)
 	if err != nil {
+		resp.hold.release()
 		stop()
 		_ = c.Close()
 		if ctx.Err() != nil {
@@ -279,8 +295,8 @@
 	return err == nil && n <= maxBufferedBody
 }
 
-// readBody reads the body of a response, or its beginning if it exceeds maxBufferedBody. It does not return a body of that
-// length unless the instance signed it as an answer: it may have no end.
+// readBody reads the body of a response, or its beginning if it exceeds maxBufferedBody or the memory for it. It does not
+// return a body of that length unless the instance signed it as an answer: it may have no end.
 func (f *Forwarder) readBody(c *conn, r Request, httpResp *http.Response, id string) (Response, error) {
 	resp := Response{
 		Status: httpResp.StatusCode, Header: httpResp.Header, Length: httpResp.ContentLength,
@@ -288,17 +304,26 @@
 		Signed: httpResp.Header.Get(f.headers.Signature) != "",
 		Limit:  parseLimit(httpResp.Header.Get(f.headers.Limit)),
 	}
-	body, err := io.ReadAll(io.LimitReader(httpResp.Body, maxBufferedBody+1))
+	limit := smallBody
+	body, err := io.ReadAll(io.LimitReader(httpResp.Body, smallBody+1))
+	if err == nil && len(body) > smallBody {
+		if resp.hold = f.memory.reserve(bufferedLength(httpResp)); resp.hold != nil {
+			limit = maxBufferedBody
+			var more []byte
+			more, err = io.ReadAll(io.LimitReader(httpResp.Body, int64(maxBufferedBody+1-len(body))))
+			body = append(body, more...)
+		}
+	}
 	if err != nil {
-		return Response{}, errors.Wrap(err, "answer cut")
+		return Response{hold: resp.hold}, errors.Wrap(err, "answer cut")
 	}
 	resp.Body = body
-	if len(body) > maxBufferedBody {
+	if len(body) > limit {
 		switch {
 		case resp.NotRun:
 			return resp, nil
 		case !resp.Signed || resp.Status >= http.StatusInternalServerError:
-			return Response{}, errors.Newf("answer with status %d is longer than %d bytes", resp.Status, maxBufferedBody)
+			return Response{hold: resp.hold}, errors.Newf("answer with status %d is longer than %d bytes", resp.Status, limit)
 		}
 		resp.BodyRest = httpResp.Body
 		return resp, nil
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -8,11 +8,13 @@
 	"net/netip"
 	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/jacinthproxy/jacinthproxy/cmd/standin/emulator"
@@ -21,7 +23,7 @@
 )
 
 func newForwarder() *forwarder.Forwarder {
-	return forwarder.New(platform.HeaderNames().HeaderNames, 10, clockwork.NewRealClock())
+	return forwarder.New(platform.HeaderNames().HeaderNames, 10, 1<<20, clockwork.NewRealClock())
 }
 
 func newInstance(t *testing.T, b emulator.Behavior) *emulator.Instance {
@@ -147,7 +149,7 @@
 func TestConnectionsIdleTooLongAreNotReused(t *testing.T) {
 	i := newInstance(t, emulator.Answer)
 	clock := clockwork.NewFakeClock()
-	f := forwarder.New(forwarder.HeaderNames{RequestID: "Request-Id"}, 10, clock)
+	f := forwarder.New(forwarder.HeaderNames{RequestID: "Request-Id"}, 10, 1<<20, clock)
 	send := func(id string, maxIdle time.Duration) {
 		_, err := f.Send(t.Context(), i.Address(), request(id), maxIdle)
 		require.NoError(t, err)
@@ -228,3 +230,50 @@
 	_, err = io.Copy(io.Discard, a.BodyRest)
 	require.Error(t, err, "the end that the VM made is not the end of the body")
 }
+
+// Many endless responses at once must not fill memory, whether they end with an error or are held for slow callers.
+func TestManyEndlessResponsesAreBoundedTogether(t *testing.T) {
+	const (
+		requests  = 100
+		maxMemory = 1 << 20
+		small     = 8<<10 + 1
+	)
+	signed := "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Signature: s\r\n\r\n"
+	i, f := newInstance(t, emulator.Endless(signed, "x")), newForwarder()
+	send := func() []forwarder.Response {
+		rs := make([]forwarder.Response, requests)
+		var g sync.WaitGroup
+		for n := range rs {
+			g.Go(func() {
+				r, err := f.Send(t.Context(), i.Address(), request("1"), maxIdle)
+				assert.NoError(t, err)
+				rs[n] = r
+			})
+		}
+		g.Wait()
+		return rs
+	}
+	rs := send()
+	held, most := 0, 0
+	for _, r := range rs {
+		require.NotNil(t, r.BodyRest, "each goes on")
+		held, most = held+len(r.Body), max(most, len(r.Body))
+	}
+	require.LessOrEqual(t, held, maxMemory+requests*small)
+	require.Greater(t, most, small, "some may be buffered")
+	for _, r := range rs {
+		require.NoError(t, r.Close())
+		require.NoError(t, r.Close())
+	}
+	// Responses that end with an error hold nothing.
+	i.SetBehavior(emulator.Endless("HTTP/1.1 500 X\r\nRequest-Id: %s\r\nServer-Signature: s\r\n\r\n", "x"))
+	for range 10 {
+		_, err := f.Send(t.Context(), i.Address(), request("1"), maxIdle)
+		require.ErrorContains(t, err, "longer than 262144")
+	}
+	i.SetBehavior(emulator.Endless(signed, "x"))
+	r, err := f.Send(t.Context(), i.Address(), request("1"), maxIdle)
+	require.NoError(t, err)
+	require.Greater(t, len(r.Body), small, "all memory was given back")
+	require.NoError(t, r.Close())
+}
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -116,6 +116,7 @@
 
 // handleFinished handles a finished attempt; done is true if res is the result of the request.
 func (r *retrier) handleFinished(ctx context.Context, a *attempt) (res result, done bool) {
+	r.responses = append(r.responses, a.response)
 	took := r.Clock.Since(a.startedAt)
 	o := r.classify(ctx, a)
 	r.observeStatements(a)
@@ -263,9 +264,7 @@
 				o = r.classify(context.Background(), a)
 			}
 			r.observeStatements(a)
-			if a.response.BodyRest != nil {
-				_ = a.response.BodyRest.Close()
-			}
+			_ = a.response.Close()
 			r.Picker.Done(r.route, a.choice, o, r.Clock.Since(a.startedAt))
 		}
 	}()
--- a/internal/receiver/exchange.go
+++ b/internal/receiver/exchange.go
@@ -48,6 +48,8 @@
 	configurationAge     time.Duration
 	admission            relayer.Admission
 	tried                []string
+	// responses are those that were received, to be closed when the request is over.
+	responses []forwarder.Response
 }
 
 // result is how a request ended, with the response or error to return to the caller.
@@ -242,8 +244,13 @@
 	return n
 }
 
-// release gives back the memory that bufferedLength reserved.
-func (x *exchange) release() { x.bodyBytes.Add(-x.reserved) }
+// release gives back what the request holds.
+func (x *exchange) release() {
+	x.bodyBytes.Add(-x.reserved)
+	for _, r := range x.responses {
+		_ = r.Close() // Closing a connection whose response is not read to its end may fail.
+	}
+}
 
 // hopByHopHeaders are the hop-by-hop headers, which are not forwarded.
 var hopByHopHeaders = []string{
@@ -367,7 +374,6 @@
 		_, _ = x.w.Write(resp.Body) // The caller may have disconnected.
 		return
 	}
-	defer func() { _ = resp.BodyRest.Close() }()
 	if resp.Length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(resp.Length, 10))
 	}
--- a/internal/runner/constants.go
+++ b/internal/runner/constants.go
@@ -18,7 +18,7 @@
 	answerMargin = 100 * time.Millisecond
 	// idleConnFraction is the fraction of the file descriptors that idle connections to instances may use.
 	idleConnFraction = 0.25
-	// bodyMemoryFraction is the fraction of the memory limit that buffered request bodies may take.
+	// bodyMemoryFraction is the fraction of the memory limit that buffered request bodies may take, and response bodies again.
 	bodyMemoryFraction = 0.125
 	// memoryLimitFraction is the fraction of the memory limit that is set as the soft limit of the Go runtime, near
 	// which garbage is collected more often.
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -89,7 +89,7 @@
 		Self: self, Dial: messenger.DialFrom(s.Peers.Addr()), Handler: r.relayer, Logger: o.Logger, Clock: o.Clock,
 	})
 	r.relayer.SetMessenger(r.messenger)
-	r.forwarder = forwarder.New(o.HeaderNames.HeaderNames, int(idleConnFraction*float64(s.Descriptors)), o.Clock)
+	r.forwarder = forwarder.New(o.HeaderNames.HeaderNames, int(idleConnFraction*float64(s.Descriptors)), int64(bodyMemoryFraction*float64(s.Memory)), o.Clock)
 	return r, errors.CombineErrors(m.registerGauges(r.gauges()), r.listen())
 }
 
--- a/pkg/balancer/pause_test.go
+++ b/pkg/balancer/pause_test.go
@@ -26,7 +26,7 @@
 					}
 				}
 			}
-			if at == start.Add(time.Second) { // It is not in the list for a moment.
+			if at.Equal(start.Add(time.Second)) { // It is not in the list for a moment.
 				b.SetInstances(at, instances(n)[1:])
 				b.SetInstances(at, instances(n))
 			}
