--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -180,7 +180,8 @@
 		return balancer.OutcomeMoved
 	case a.response.NotRun:
 		return balancer.OutcomeShed
-	case !a.response.Signed && a.response.Status < http.StatusBadRequest:
+	case !a.response.Signed && a.response.Status < http.StatusInternalServerError:
+		// It is none of an instance's: something else may listen at its address.
 		return balancer.OutcomeBroken
 	case impliesNotRun(a.response.Status):
 		// The caller would conclude from the status that the request has not run, but nothing else says so.
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -259,6 +259,9 @@
 		"status claims not run": {func(f *fixture) {
 			f.respond = func(int) (forwarder.Response, error) { return forwarder.Response{Status: 503, Signed: true}, nil }
 		}, "/once/", "secret", 502, false, "broken", "no whole answer"},
+		"unsigned denial": {func(f *fixture) {
+			f.respond = func(int) (forwarder.Response, error) { return forwarder.Response{Status: 404}, nil }
+		}, "/once/", "secret", 502, false, "broken", "no whole answer"},
 		"unsigned success": {func(f *fixture) {
 			f.respond = func(int) (forwarder.Response, error) { return forwarder.Response{Status: 200}, nil }
 		}, "/once/", "secret", 502, false, "broken", "no whole answer"},
--- a/internal/relayer/owner_test.go
+++ b/internal/relayer/owner_test.go
@@ -44,16 +44,7 @@
 			}
 			changes = changes[1:]
 		}
-		for i, tr := range f.trackers {
-			for j, m := range f.members {
-				if m.AsOf = f.clock.Now(); j == owner {
-					m.Role = role
-				}
-				if i != j && (j == owner || !cut.IsValid()) {
-					tr.UpdateMember(m)
-				}
-			}
-		}
+		f.markOwner(owner, role, cut.IsValid())
 		for n := range 12 {
 			vm := (owner + 1 + n) % 3
 			if at < hotAt && n > 0 || vm == owner && role != tracker.RoleReady && !cut.IsValid() {
@@ -64,14 +55,33 @@
 			}
 		}
 	}
-	firstIn := 0
-	for i, at := range admitted {
-		for at.Sub(admitted[firstIn]) > 5*time.Second {
-			firstIn++
+	return mostIn(admitted, 5*time.Second), 1.1*(limit*5+limit) + 20
+}
+
+// markOwner sets the role of the owner at the other VMs. A cut owner keeps what it knows of them.
+func (f *fleet) markOwner(owner int, role tracker.Role, cut bool) {
+	for i, tr := range f.trackers {
+		for j, m := range f.members {
+			if m.AsOf = f.clock.Now(); j == owner {
+				m.Role = role
+			}
+			if i != j && (j == owner || !cut) {
+				tr.UpdateMember(m)
+			}
+		}
+	}
+}
+
+// mostIn returns the most times in any span.
+func mostIn(ts []time.Time, span time.Duration) int {
+	most, first := 0, 0
+	for i, t := range ts {
+		for t.Sub(ts[first]) > span {
+			first++
 		}
-		most = max(most, i-firstIn+1)
+		most = max(most, i-first+1)
 	}
-	return most, 1.1*(limit*5+limit) + 20
+	return most
 }
 
 // A VM that owns a rate for the second time must not grant the burst that it saved up meanwhile.
