Refuse requests that a planned stop of serve would cut

While the VM stops, requests whose deadline is later than the end of the stop now get 503, not run, before and after each step that may wait.

TestStoppingVMRefusesRequestsThatItCannotFinish covers a request on arrival and one that waits when the stop begins; there was nothing to tell the handler of the end of a stop before.

--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -26,6 +26,7 @@
 	dispatcher.ReasonNoService:  http.StatusServiceUnavailable,
 	dispatcher.ReasonNoContact:  http.StatusServiceUnavailable,
 	dispatcher.ReasonRecords:    http.StatusServiceUnavailable,
+	dispatcher.ReasonStopping:   http.StatusServiceUnavailable,
 	dispatcher.ReasonBadRequest: http.StatusBadRequest,
 }
 
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -24,6 +24,8 @@
 	InContact() bool
 	// Stopping reports whether this VM is shutting down.
 	Stopping() bool
+	// StopsAt returns when a stop that has begun cuts off the requests that still run; zero if none has begun.
+	StopsAt() time.Time
 }
 
 // Admitter enforces the rate limits of the client accounts.
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -30,6 +30,7 @@
 	*httptest.Server
 	index     atomic.Pointer[merger.Index]
 	inContact atomic.Bool
+	stopsAt   atomic.Pointer[time.Time]
 	admit     func() error
 	answer    func(dispatcher.Request) dispatcher.Answer
 	sent      atomic.Int64
@@ -58,8 +59,14 @@
 func (f *fixture) Addresses(netip.Addr, int) []netip.AddrPort {
 	return []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:80")}
 }
-func (f *fixture) InContact() bool                                          { return f.inContact.Load() }
-func (f *fixture) Stopping() bool                                           { return false }
+func (f *fixture) InContact() bool { return f.inContact.Load() }
+func (f *fixture) Stopping() bool  { return false }
+func (f *fixture) StopsAt() time.Time {
+	if at := f.stopsAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
 func (f *fixture) Admit(context.Context, merger.Account) error              { return f.admit() }
 func (f *fixture) RetryAfter(string) time.Duration                          { return 1500 * time.Millisecond }
 func (f *fixture) Finish(recorder.Attempt, bool, recorder.Result)           {}
@@ -254,3 +261,24 @@
 	require.Equal(t, 204, rep.StatusCode)
 	require.Empty(t, body)
 }
+
+// A request that a stopping VM cannot finish would be cut after it ran, also one that waits when the stop begins.
+func TestStoppingVMRefusesRequestsThatItCannotFinish(t *testing.T) {
+	f := newFixture(t)
+	stop := time.Now().Add(time.Minute)
+	f.stopsAt.Store(&stop)
+	rep, _ := f.do(t, http.MethodPost, "/t/x", "")
+	require.Equal(t, http.StatusOK, rep.StatusCode, "its route's timeout is 10 s")
+	f.stopsAt.Store(nil)
+	f.admit = func() error {
+		at := time.Now().Add(5 * time.Second)
+		f.stopsAt.Store(&at)
+		return nil
+	}
+	for range 2 {
+		rep, _ = f.do(t, http.MethodPost, "/t/x", "")
+		require.Equal(t, http.StatusServiceUnavailable, rep.StatusCode)
+		require.Equal(t, "not-run", rep.Header.Get(caller.HeaderOutcome))
+	}
+	require.EqualValues(t, 1, f.sent.Load())
+}
--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -77,7 +77,7 @@
 // run checks the request, sends it and returns the answer. The context must stay valid until the answer's Rest, if any,
 // has been read.
 func (x *exchange) run(ctx context.Context) dispatcher.Answer {
-	steps := []func() error{x.extractAPIKey, x.findRoute, x.authorize, x.readBody, x.checkKeyLeak, x.authorize, x.admit}
+	steps := []func() error{x.extractAPIKey, x.findRoute, x.authorize, x.checkStop, x.readBody, x.checkStop, x.checkKeyLeak, x.authorize, x.admit, x.checkStop}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			return x.refusalAnswer(err)
@@ -125,6 +125,14 @@
 	return nil
 }
 
+// checkStop checks that the request can end before this VM stops. It runs again after each step that may wait.
+func (x *exchange) checkStop() error {
+	if at := x.Fleet.StopsAt(); !at.IsZero() && x.deadline.After(at) {
+		return newRefusal(dispatcher.ReasonStopping, http.StatusServiceUnavailable, "this VM stops before the request's deadline; use another address")
+	}
+	return nil
+}
+
 // authorize checks that this VM may act on its configuration and that the API key is valid, and sets the account. It
 // runs again after each step that may wait, because both may have changed meanwhile.
 func (x *exchange) authorize() error {
--- a/internal/dispatcher/answer.go
+++ b/internal/dispatcher/answer.go
@@ -59,6 +59,8 @@
 	ReasonNoOwner
 	// ReasonRecords means that the attempt could not be recorded under its idempotency key.
 	ReasonRecords
+	// ReasonStopping means that this VM stops before the request's deadline.
+	ReasonStopping
 )
 
 // Request is a request to one of a group's instances.
--- a/internal/dispatcher/outcome_enumer.go
+++ b/internal/dispatcher/outcome_enumer.go
@@ -96,11 +96,11 @@
 	return err
 }
 
-const _ReasonName = "noneoverloadno-backendtimeoutfailedcanceledno-serviceno-contactover-ratekeyno-routebad-requestrepeatedno-ownerrecords"
+const _ReasonName = "noneoverloadno-backendtimeoutfailedcanceledno-serviceno-contactover-ratekeyno-routebad-requestrepeatedno-ownerrecordsstopping"
 
-var _ReasonIndex = [...]uint8{0, 4, 12, 22, 29, 35, 43, 53, 63, 72, 75, 83, 94, 102, 110, 117}
+var _ReasonIndex = [...]uint8{0, 4, 12, 22, 29, 35, 43, 53, 63, 72, 75, 83, 94, 102, 110, 117, 125}
 
-const _ReasonLowerName = "noneoverloadno-backendtimeoutfailedcanceledno-serviceno-contactover-ratekeyno-routebad-requestrepeatedno-ownerrecords"
+const _ReasonLowerName = "noneoverloadno-backendtimeoutfailedcanceledno-serviceno-contactover-ratekeyno-routebad-requestrepeatedno-ownerrecordsstopping"
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_ReasonIndex)-1) {
@@ -128,9 +128,10 @@
 	_ = x[ReasonRepeated-(12)]
 	_ = x[ReasonNoOwner-(13)]
 	_ = x[ReasonRecords-(14)]
+	_ = x[ReasonStopping-(15)]
 }
 
-var _ReasonValues = []Reason{ReasonNone, ReasonOverload, ReasonNoBackend, ReasonTimeout, ReasonFailed, ReasonCanceled, ReasonNoService, ReasonNoContact, ReasonOverRate, ReasonKey, ReasonNoRoute, ReasonBadRequest, ReasonRepeated, ReasonNoOwner, ReasonRecords}
+var _ReasonValues = []Reason{ReasonNone, ReasonOverload, ReasonNoBackend, ReasonTimeout, ReasonFailed, ReasonCanceled, ReasonNoService, ReasonNoContact, ReasonOverRate, ReasonKey, ReasonNoRoute, ReasonBadRequest, ReasonRepeated, ReasonNoOwner, ReasonRecords, ReasonStopping}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:4]:     ReasonNone,
@@ -148,6 +149,7 @@
 	_ReasonName[94:102]:  ReasonRepeated,
 	_ReasonName[102:110]: ReasonNoOwner,
 	_ReasonName[110:117]: ReasonRecords,
+	_ReasonName[117:125]: ReasonStopping,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -166,6 +168,7 @@
 	_ReasonLowerName[94:102]:  ReasonRepeated,
 	_ReasonLowerName[102:110]: ReasonNoOwner,
 	_ReasonLowerName[110:117]: ReasonRecords,
+	_ReasonLowerName[117:125]: ReasonStopping,
 }
 
 var _ReasonNames = []string{
@@ -184,6 +187,7 @@
 	_ReasonName[94:102],
 	_ReasonName[102:110],
 	_ReasonName[110:117],
+	_ReasonName[117:125],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
--- a/internal/server/constants.go
+++ b/internal/server/constants.go
@@ -39,6 +39,8 @@
 	maxLostReplies = 2
 	// stopGracePeriod is how long a stopping VM still serves new connections and all requests on existing ones.
 	stopGracePeriod = 2 * time.Second
+	// answerMargin is the time for the answer to a request that ends at its deadline while the VM stops.
+	answerMargin = 100 * time.Millisecond
 	// handOverTimeout bounds how long a stopping VM waits for other VMs to take over its partitions and for its
 	// dispatchers to become idle.
 	handOverTimeout = 8 * time.Second
--- a/internal/server/run.go
+++ b/internal/server/run.go
@@ -103,6 +103,8 @@
 // waits for the requests in flight and hands over the VM's partitions. Requests that still run after StopTimeout,
 // or when kill ends, are cut off; an error is returned then.
 func (s *Server) stop(kill context.Context, callerServer *http.Server) error {
+	at := s.clock.Now().Add(s.settings.StopTimeout - answerMargin)
+	s.stopsAt.Store(&at)
 	s.stopping.Store(true)
 	s.addEvent("stopping")
 	ctx, cancel := context.WithTimeout(kill, s.settings.StopTimeout)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -89,6 +89,8 @@
 	events     *operator.Events
 	proposals  proposalState
 	stopping   atomic.Bool
+	// stopsAt is when a stop that has begun cuts off requests; nil before.
+	stopsAt atomic.Pointer[time.Time]
 	// broadcast triggers heartbeats to all neighbours when the known VMs changed.
 	broadcast chan struct{}
 	tasks     sync.WaitGroup
@@ -181,6 +183,14 @@
 // Stopping reports whether a planned stop of this VM has begun.
 func (s *Server) Stopping() bool { return s.stopping.Load() }
 
+// StopsAt implements caller.Fleet.
+func (s *Server) StopsAt() time.Time {
+	if at := s.stopsAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 // liveView returns the live VMs, including this one unless it is stopping.
 func (s *Server) liveView() placer.View {
 	live := s.gossiper.Live()
