Give a limiter of a rate a share that it loses with the role or contact

Each limiter now has a share: what its VM reaches of the fleet while it owns the rate, else none. What others could grant of the rest counts for a window, the rate evenly and the burst once they could save it up. A suspended VM had no share meanwhile.

The soak gets servers that state in their answers that they leave, ask for pauses, send bytes without end or part of a head, changed limits, an entry of a stranger, and callers that stop in the middle of a body.

--- a/cmd/soak/callers.go
+++ b/cmd/soak/callers.go
@@ -24,6 +24,12 @@
 	addressTTL = time.Second
 	// maxUploadRepeats is how often an upload repeats its text at most: up to some 500 KB.
 	maxUploadRepeats = 30_000
+	// longHeader is the length of a header that only the raised limit allows, in bytes, and longHeaderDelay the time after which
+	// all daemons know that limit.
+	longHeader      = 32 << 10
+	longHeaderDelay = 3 * time.Second
+	// maxBodyPause bounds the time in which a caller stops in the middle of a body.
+	maxBodyPause = 1500 * time.Millisecond
 	// callerPause is the mean pause between two requests of a caller.
 	callerPause = 30 * time.Millisecond
 )
@@ -125,7 +131,7 @@
 	c.sent++
 	id := fmt.Sprintf("%d-%d", c.number, c.sent)
 	process, _ := d.currentProcess()
-	c.fleet.checker.recordSent(id, account, serviceOf(path), isIdempotent(path), time.Now())
+	c.fleet.checker.recordSent(id, account, serviceOf(path), process, isIdempotent(path), time.Now())
 	got, err := c.do(d, id, account, path)
 	after, stopping := d.currentProcess()
 	if err != nil {
@@ -135,7 +141,7 @@
 		c.current = ""
 		return
 	}
-	c.fleet.checker.recordAnswer(id, got.status, got.signature, got.body, process)
+	c.fleet.checker.recordAnswer(id, got, process)
 }
 
 // serviceOf returns the service that runs the requests for a path; empty if there are several.
@@ -169,7 +175,7 @@
 		c.sent++
 		id := fmt.Sprintf("%d-%d", c.number, c.sent)
 		ids = append(ids, id)
-		c.fleet.checker.recordSent(id, "large", serviceLedger, true, time.Now())
+		c.fleet.checker.recordSent(id, "large", serviceLedger, process, true, time.Now())
 		fmt.Fprintf(&requests, "GET /safe/x HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nX-Api-Key: key-large\r\nDeadline-Ms: %d\r\n\r\n",
 			host, id, requestTimeout.Milliseconds())
 	}
@@ -186,7 +192,7 @@
 		if err != nil {
 			return
 		}
-		c.fleet.checker.recordAnswer(ids[i], rep.StatusCode, rep.Header.Get("Server-Signature"), string(b), process)
+		c.fleet.checker.recordAnswer(ids[i], answerOf(rep, b), process)
 		if rep.Close {
 			return
 		}
@@ -197,6 +203,34 @@
 type answer struct {
 	status          int
 	signature, body string
+	// leaving is set if the answer states that its backend server leaves.
+	leaving bool
+}
+
+func answerOf(rep *http.Response, body []byte) answer {
+	return answer{rep.StatusCode, rep.Header.Get("Server-Signature"), string(body), rep.Header.Get("Server-Leaving") == "1"}
+}
+
+// slowBody stops once for a while after its first byte.
+type slowBody struct {
+	r     io.Reader
+	pause time.Duration
+}
+
+// Read implements io.Reader.
+func (b *slowBody) Read(p []byte) (int, error) {
+	if len(p) > 1 && b.pause > 0 {
+		p = p[:1]
+	} else {
+		time.Sleep(b.pause)
+		b.pause = 0
+	}
+	n, err := b.r.Read(p)
+	if b.pause > 0 {
+		time.Sleep(b.pause)
+		b.pause = 0
+	}
+	return n, err
 }
 
 // do sends a request and reads the complete response. It sets a forged Tenant header, which daemons must not pass on.
@@ -205,13 +239,21 @@
 	if strings.HasPrefix(path, "/upload/") {
 		body = strings.Repeat(body, 1+c.random.IntN(maxUploadRepeats))
 	}
-	req, err := http.NewRequest(http.MethodPost, "http://"+d.callerAddress()+path, strings.NewReader(body))
+	var src io.Reader = strings.NewReader(body)
+	if c.random.IntN(20) == 0 {
+		src = &slowBody{src, time.Duration(c.random.Int64N(int64(maxBodyPause)))}
+	}
+	req, err := http.NewRequest(http.MethodPost, "http://"+d.callerAddress()+path, src)
 	if err != nil {
 		return answer{}, err
 	}
+	req.ContentLength = int64(len(body))
 	if len(body)%2 == 1 {
 		req.ContentLength = -1 // The body is sent in chunks.
 	}
+	if at := c.fleet.headerRaised.Load(); at > 0 && time.Since(time.Unix(0, at)) > longHeaderDelay && !c.fleet.timeBoundsSuspended() {
+		req.Header.Set("X-Note", strings.Repeat("n", c.random.IntN(longHeader)))
+	}
 	req.Host = host
 	req.Header.Set("Request-Id", id)
 	req.Header.Set("Deadline-Ms", fmt.Sprint(requestTimeout.Milliseconds()))
@@ -225,7 +267,7 @@
 	}
 	defer func() { _ = rep.Body.Close() }()
 	b, err := io.ReadAll(rep.Body)
-	return answer{rep.StatusCode, rep.Header.Get("Server-Signature"), string(b)}, err
+	return answerOf(rep, b), err
 }
 
 // watchConfiguration repeatedly requests the route that the newest configuration added from one daemon, until the
@@ -239,7 +281,7 @@
 		sentAt := time.Now()
 		c.sent++
 		id := fmt.Sprintf("%d-%d", c.number, c.sent)
-		f.checker.recordSent(id, "", serviceLedger, true, sentAt)
+		f.checker.recordSent(id, "", serviceLedger, process, true, sentAt)
 		got, err := c.do(d, id, "", "/"+versionRoute(v)+"/")
 		if err != nil {
 			continue
--- a/cmd/soak/checker.go
+++ b/cmd/soak/checker.go
@@ -28,13 +28,16 @@
 	guaranteeRecovery             guarantee = "all daemons are ready again after the faults"
 	guaranteeLimit                guarantee = "a backend server gets no more requests than the limit that it states allows"
 	guaranteeRoute                guarantee = "a request runs only at a service of its route"
+	guaranteeStatedLeaving        guarantee = "a daemon sends nothing to a backend server that said in its answers that it leaves"
+	guaranteePause                guarantee = "a daemon sends nothing to a backend server for as long as it asked"
+	guaranteeRepeats              guarantee = "requests are not repeated beyond the budget"
 	guaranteeAllowed              guarantee = "a request that every configuration allows is not denied"
 )
 
 // timeBound are the guarantees with a time bound. Their violations mean little on an overloaded machine.
 var timeBound = []guarantee{
 	guaranteeKeyWithdrawn, guaranteeRate, guaranteeDrain, guaranteeConfigurationApplied, guaranteePlannedStop,
-	guaranteeRecovery, guaranteeLimit,
+	guaranteeRecovery, guaranteeLimit, guaranteeStatedLeaving, guaranteePause, guaranteeRepeats,
 }
 
 // The bounds of the checks. revocationBound is the RevocationS, and rateWindow the QuotaWindowS, of the daemons'
@@ -53,6 +56,13 @@
 	limitWindow     = 4 * time.Second
 	limitMargin     = 1.5
 	limitSlack      = 5
+	// From pauseSettleTime after a backend server asked a daemon for a pause, that may send it pauseSlack requests.
+	pauseSettleTime = 500 * time.Millisecond
+	pauseSlack      = 2
+	// In any repeatWindow, a service gets at most repeatRatio * requests + repeatSlack repeats.
+	repeatWindow = 10 * time.Second
+	repeatRatio  = 0.2
+	repeatSlack  = 50
 )
 
 // request is the state of a caller's request.
@@ -61,9 +71,12 @@
 	// service is the only service that may run the request; any may if it is empty.
 	service    string
 	idempotent bool
-	sentAt     time.Time
-	refused    bool
-	runs       int
+	// process is the daemon's process that the request was sent to.
+	process  string
+	sentAt   time.Time
+	refused  bool
+	runs     int
+	arrivals int
 }
 
 // checker collects the observations of callers and backend servers, and detects violations of the guarantees. It is
@@ -82,6 +95,10 @@
 	leavingSince map[string]time.Time
 	// limited holds the backend servers that state a limit.
 	limited map[string]*limitedServer
+	// statements are what daemons were told by backend servers.
+	statements map[hop]*statement
+	// repeats holds the times of the arrivals beyond the first of each request, by service.
+	repeats map[string][]time.Time
 	// lastDisturbance is the last time at which a fault that suspends time bounds was active.
 	lastDisturbance time.Time
 	// newestApplied is the newest configuration version that each process has been observed to apply.
@@ -93,7 +110,7 @@
 func newChecker(limits map[string]float64) *checker {
 	return &checker{
 		requests: map[string]*request{}, limits: limits, runTimes: map[string][]time.Time{},
-		withdrawnAt: map[string]time.Time{}, leavingSince: map[string]time.Time{}, limited: map[string]*limitedServer{}, newestApplied: map[string]int{}, violations: map[guarantee][]string{},
+		withdrawnAt: map[string]time.Time{}, leavingSince: map[string]time.Time{}, limited: map[string]*limitedServer{}, statements: map[hop]*statement{}, repeats: map[string][]time.Time{}, newestApplied: map[string]int{}, violations: map[guarantee][]string{},
 	}
 }
 
@@ -103,10 +120,10 @@
 }
 
 // recordSent records a request. It is called before the request is sent.
-func (c *checker) recordSent(id, account, service string, idempotent bool, at time.Time) {
+func (c *checker) recordSent(id, account, service, process string, idempotent bool, at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.requests[id] = &request{account: account, service: service, idempotent: idempotent, sentAt: at}
+	c.requests[id] = &request{account: account, service: service, process: process, idempotent: idempotent, sentAt: at}
 }
 
 // recordRun records that a backend server started to run a request.
@@ -164,9 +181,10 @@
 
 // recordArrival records that a request arrived at a backend server, which may refuse it. Only windows without a fault that
 // suspends time bounds count.
-func (c *checker) recordArrival(server string, at time.Time) {
+func (c *checker) recordArrival(server, service, id string, at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.checkStatements(server, service, id, at)
 	l := c.limited[server]
 	if l == nil || at.Sub(l.since) < limitSettleTime || at.Sub(c.lastDisturbance) < settleTime {
 		return
@@ -180,12 +198,16 @@
 	}
 }
 
-// recordAnswer records the answer that a caller got. process names the daemon process that sent it; server is the body
-// of the answer, which names the backend server that made it.
-func (c *checker) recordAnswer(id string, status int, signature, server, process string) {
+// recordAnswer records the answer that a caller got. process names the daemon process that sent it; the body of the answer
+// names the backend server that made it.
+func (c *checker) recordAnswer(id string, a answer, process string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.requests[id]
+	status, signature, server := a.status, a.signature, a.body
+	if a.leaving {
+		c.recordLeavingStatement(hop{process, strings.TrimPrefix(server, "from ")}, time.Now())
+	}
 	switch status {
 	case 408, 421, 429, 503:
 		r.refused = true
@@ -196,7 +218,10 @@
 		if signature != "sig-"+id {
 			c.addViolation(guaranteeOwnAnswer, "%s got an answer with signature %q, made by %s and sent by %s", id, signature, server, process)
 		}
-	case 401, 403, 404:
+		if !strings.HasPrefix(server, "from ") {
+			c.addViolation(guaranteeOwnAnswer, "%s got an answer of %d bytes that is not whole, sent by %s", id, len(server), process)
+		}
+	case 400, 401, 403, 404, 413, 431:
 		if _, gone := c.withdrawnAt[r.account]; !gone {
 			c.addViolation(guaranteeAllowed, "%s was answered with status %d by %s", id, status, process)
 		}
@@ -283,6 +308,7 @@
 			}
 		}
 	}
+	c.checkRepeats()
 	var lines []string
 	for g, fs := range c.violations {
 		if !withTimed && slices.Contains(timeBound, g) {
--- a/cmd/soak/checker_test.go
+++ b/cmd/soak/checker_test.go
@@ -24,18 +24,22 @@
 			c.recordRun("safe", "a", "", "i", "ledger", start)
 			c.recordRun("safe", "a", "", "i", "ledger", start)
 		}},
-		{guaranteeOwnAnswer, func(c *checker) { c.recordAnswer("safe", 200, "sig-once", "", "p") }, func(c *checker) { c.recordAnswer("safe", 200, "sig-safe", "", "p") }},
+		{guaranteeOwnAnswer, func(c *checker) {
+			c.recordAnswer("safe", answer{status: 200, signature: "sig-once", body: "from i"}, "p")
+		}, func(c *checker) {
+			c.recordAnswer("safe", answer{status: 200, signature: "sig-safe", body: "from i"}, "p")
+		}},
 		{guaranteeNotRun, func(c *checker) {
 			c.recordRun("once", "a", "", "i", "ledger", start)
-			c.recordAnswer("once", 503, "", "", "p")
+			c.recordAnswer("once", answer{status: 503}, "p")
 		}, func(c *checker) {
 			c.recordRun("once", "a", "", "i", "ledger", start)
-			c.recordAnswer("once", 502, "", "", "p")
+			c.recordAnswer("once", answer{status: 502}, "p")
 		}},
 		{guaranteeNotRun, func(c *checker) {
-			c.recordAnswer("once", 429, "", "", "p")
+			c.recordAnswer("once", answer{status: 429}, "p")
 			c.recordRun("once", "a", "", "i", "ledger", start)
-		}, func(c *checker) { c.recordAnswer("once", 429, "", "", "p") }},
+		}, func(c *checker) { c.recordAnswer("once", answer{status: 429}, "p") }},
 		{guaranteeRoute, func(c *checker) { c.recordRun("safe", "a", "", "i", "archive", start) }, func(c *checker) { c.recordRun("safe", "a", "", "i", "ledger", start) }},
 		{guaranteeKeyHidden, func(c *checker) { c.recordRun("safe", "a", "key", "i", "ledger", start) }, func(c *checker) { c.recordRun("safe", "a", "", "i", "ledger", start) }},
 		{guaranteeAccount, func(c *checker) { c.recordRun("safe", "b", "", "i", "ledger", start) }, func(c *checker) { c.recordRun("safe", "a", "", "i", "ledger", start) }},
@@ -91,15 +95,43 @@
 			c.recordInterrupted("once", "p")
 		}, func(c *checker) { c.recordInterrupted("once", "p") }},
 		{guaranteeRecovery, func(c *checker) { c.recordNotReady("p") }, func(*checker) {}},
-		{guaranteeAllowed, func(c *checker) { c.recordAnswer("safe", 401, "", "", "p") }, func(c *checker) {
+		{guaranteeOwnAnswer, func(c *checker) {
+			c.recordAnswer("safe", answer{status: 200, signature: "sig-safe", body: "fr"}, "p")
+		}, func(c *checker) { c.recordAnswer("safe", answer{status: 502, body: "fr"}, "p") }},
+		{guaranteeStatedLeaving, func(c *checker) {
+			c.recordLeavingStatement(hop{"p", "i"}, at(-drainBound-time.Millisecond))
+			c.recordArrival("i", "ledger", "safe", start)
+		}, func(c *checker) {
+			c.recordLeavingStatement(hop{"p", "i"}, at(-drainBound))
+			c.recordLeavingStatement(hop{"p after its restart", "i"}, at(-time.Hour))
+			c.recordLeavingStatement(hop{"p", "j"}, at(-time.Hour))
+			c.recordArrival("i", "ledger", "safe", start)
+			c.forgetStatements("j")
+			c.recordArrival("j", "ledger", "once", start)
+		}},
+		{guaranteePause, func(c *checker) {
+			c.recordPause("i", "safe", start)
+			c.arriveLater("i", 3, at(pauseSettleTime+time.Millisecond))
+		}, func(c *checker) {
+			c.recordPause("i", "safe", start)
+			c.arriveLater("i", 3, at(pauseSettleTime))
+			c.arriveLater("i", 2, at(pauseSettleTime+time.Millisecond))
+			c.arriveLater("j", 3, at(pauseSettleTime+time.Millisecond))
+			c.arriveLater("i", 3, at(statedPause))
+		}},
+		{guaranteeRepeats, func(c *checker) { c.arriveLater("i", 52, start) }, func(c *checker) {
+			c.arriveLater("i", 51, start)
+			c.arriveLater("i", 50, at(repeatWindow))
+		}},
+		{guaranteeAllowed, func(c *checker) { c.recordAnswer("safe", answer{status: 401}, "p") }, func(c *checker) {
 			c.recordWithdrawal("a", start)
-			c.recordAnswer("safe", 401, "", "", "p")
+			c.recordAnswer("safe", answer{status: 401}, "p")
 		}},
 	} {
 		check := func(f func(c *checker)) []string {
 			c := newChecker(map[string]float64{"a": 10})
-			c.recordSent("safe", "a", "ledger", true, start)
-			c.recordSent("once", "a", "ledger", false, start)
+			c.recordSent("safe", "a", "ledger", "p", true, start)
+			c.recordSent("once", "a", "ledger", "p", false, start)
 			f(c)
 			return c.report(true)
 		}
@@ -114,14 +146,21 @@
 func (c *checker) recordRuns(account string, n int, at time.Time) {
 	for i := range n {
 		id := string(rune('a'+i/26)) + string(rune('a'+i%26))
-		c.recordSent(id, account, "ledger", true, at)
+		c.recordSent(id, account, "ledger", "p", true, at)
 		c.recordRun(id, account, "", "i", "ledger", at)
 	}
 }
 
+// arriveLater records n arrivals of one request.
+func (c *checker) arriveLater(server string, n int, at time.Time) {
+	for range n {
+		c.recordArrival(server, "ledger", "safe", at)
+	}
+}
+
 // recordArrivals records n requests that arrive at a backend server at the same time.
 func (c *checker) recordArrivals(n int, at time.Time) {
 	for range n {
-		c.recordArrival("i", at)
+		c.recordArrival("i", "ledger", "nobody's", at)
 	}
 }
--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -168,6 +168,50 @@
 			s.SetLimit(0)
 		}, fmt.Sprintf("%s %.1f/s", s.ID, limit)
 	}},
+	{"server states that it leaves", false, func(f *fleet, r *rand.Rand) (func(), string) {
+		s := f.randomServer(r)
+		s.SetLeaving(true)
+		return func() {
+			// The statement holds for the incarnation.
+			s.mu.Lock()
+			s.startMs, s.heartbeats = time.Now().UnixMilli(), 0
+			s.mu.Unlock()
+			s.SetLeaving(false)
+			f.checker.forgetStatements(s.ID)
+			f.heartbeat(s)
+		}, s.ID
+	}},
+	{"server asks for pauses", false, func(f *fleet, r *rand.Rand) (func(), string) {
+		s := f.randomServer(r)
+		share := r.Float64()
+		s.mu.Lock()
+		s.pauseShare = share
+		s.mu.Unlock()
+		return func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.pauseShare = 0
+		}, fmt.Sprintf("%s %.2f", s.ID, share)
+	}},
+	{"server sends no whole answers", false, func(f *fleet, r *rand.Rand) (func(), string) {
+		s := f.randomServer(r)
+		s.mu.Lock()
+		s.endlessShare, s.headCutShare = r.Float64()/2, r.Float64()/2
+		s.mu.Unlock()
+		return func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.endlessShare, s.headCutShare = 0, 0
+		}, s.ID
+	}},
+	{"limits changed", false, func(f *fleet, r *rand.Rand) (func(), string) {
+		f.mu.Lock()
+		f.maxHeader, f.idleTimeout = raisedHeader, 10+r.IntN(10)
+		f.mu.Unlock()
+		f.publishConfiguration()
+		f.headerRaised.CompareAndSwap(0, time.Now().UnixNano())
+		return noop, "headers raised"
+	}},
 	{"new configurations", false, func(f *fleet, r *rand.Rand) (func(), string) {
 		n := 1 + r.IntN(5)
 		for range n {
@@ -210,8 +254,12 @@
 	}},
 }
 
+// strangerAddress is the address of a server that is no backend server.
+const strangerAddress = "127.0.6.251:9100"
+
 // oddEntries are entries of the registry that name no server to use.
 var oddEntries = []string{
+	`{"Address":"` + strangerAddress + `","ServerInfo":{"Service":"ledger","Zone":"a","Slots":4},"Status":{"State":"ready","SequenceNumber":1}}`,
 	"", "\xff\xfe", "null", "[]", `{"Address":1}`, strings.Repeat("[", 100_000),
 	`{"Address":"127.0.0.1:70000","ServerInfo":{"Service":"ledger","Zone":"a","Slots":4},"Status":{"State":"ready","SequenceNumber":1}}`,
 	`{"Address":"127.0.0.1:0","ServerInfo":{"Service":"ledger","Zone":"a","Slots":4},"Status":{"State":"ready","SequenceNumber":1}}`,
--- a/cmd/soak/fleet.go
+++ b/cmd/soak/fleet.go
@@ -28,6 +28,11 @@
 	serviceLedger     = "ledger"
 	serviceArchive    = "archive"
 	heartbeatInterval = 1500 * time.Millisecond
+	// initialHeader and raisedHeader are the limits on headers before and after a change, in bytes.
+	initialHeader = 16 << 10
+	raisedHeader  = 64 << 10
+	// statedPause is the pause that backend servers ask for.
+	statedPause = 2 * time.Second
 	// maxWorkTime bounds the random time that a request takes at a backend server that is not slow.
 	maxWorkTime = 60 * time.Millisecond
 )
@@ -129,6 +134,9 @@
 	cutShare   float64
 	copyShare  float64
 	extraDelay time.Duration
+	// pauseShare is the share of requests that are refused with a pause, endlessShare of those that get bytes without end, and
+	// headCutShare of those whose answer ends in its head.
+	pauseShare, endlessShare, headCutShare float64
 }
 
 // fleet consists of the daemons, the store and the backend servers of a soak.
@@ -142,6 +150,10 @@
 	version int
 	// keys are the API keys of each client account.
 	keys map[string][]string
+	// maxHeader and idleTimeout, in bytes and seconds, are limits of the configuration.
+	maxHeader, idleTimeout int
+	// headerRaised is when maxHeader was raised, as nanoseconds since the Unix epoch; zero before.
+	headerRaised atomic.Int64
 	// unusedRoutes is the number of routes in the configuration that no caller uses.
 	unusedRoutes int
 	// oddEntries counts the entries of the registry that another writer left.
@@ -153,7 +165,12 @@
 }
 
 func newFleet(c *checker, o options, r *rand.Rand) (*fleet, error) {
-	f := &fleet{checker: c, store: emulator.NewStore(), keys: map[string][]string{}}
+	f := &fleet{checker: c, store: emulator.NewStore(), keys: map[string][]string{}, maxHeader: initialHeader, idleTimeout: 15}
+	stranger, err := net.Listen("tcp", strangerAddress)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for the stranger")
+	}
+	go func() { _ = http.Serve(stranger, http.NotFoundHandler()) }() //nolint:gosec // It runs until the program exits.
 	l, err := net.Listen("tcp", "127.0.6.250:9100")
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for the store")
@@ -225,11 +242,17 @@
 func (f *fleet) serve(s *server, r *rand.Rand, c net.Conn, req *http.Request, in *emulator.Instance) {
 	s.mu.Lock()
 	x, work := r.Float64(), s.extraDelay+time.Duration(r.Int64N(int64(maxWorkTime)))
+	pause, endless, headCut := r.Float64() < s.pauseShare, r.Float64() < s.endlessShare, r.Float64() < s.headCutShare
 	fail, shed, hang, cutting, copied := s.failShare, s.shedShare, s.hangShare, s.cutShare, r.Float64() < s.copyShare
 	late := time.Duration(r.Int64N(int64(maxWorkTime)))
 	s.mu.Unlock()
-	f.checker.recordArrival(s.ID, time.Now())
+	id := req.Header.Get("Request-Id")
+	f.checker.recordArrival(s.ID, s.service, id, time.Now())
 	switch {
+	case pause:
+		f.checker.recordPause(s.ID, id, time.Now())
+		emulator.Pause(statedPause)(c, req, in)
+		return
 	case x < shed && copied:
 		emulator.Late(emulator.Refuse, late)(c, req, in)
 		return
@@ -237,10 +260,13 @@
 		emulator.Shed(c, req, in)
 		return
 	}
-	id := req.Header.Get("Request-Id")
 	f.checker.recordRun(id, req.Header.Get("Tenant"), req.Header.Get("X-Api-Key"), s.ID, s.service, time.Now())
 	time.Sleep(work)
 	switch {
+	case endless:
+		emulator.Endless("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n\r\n", "x")(c, req, in)
+	case headCut:
+		emulator.CutHead(r.IntN)(c, req, in)
 	case x < shed+fail:
 		emulator.Fail(c, req, in)
 	case x < shed+fail+hang:
@@ -310,7 +336,7 @@
 	rs := []any{
 		route("safe", "safe", false), route("once", "non_idempotent", false), route("open", "safe", true), upload, split,
 		map[string]any{"ResourceKind": "Limits", "Metadata": map[string]string{}, "Specification": map[string]any{
-			"MaxHeaderBytes": 16384, "MaxBodyBytes": 1 << 20, "HeaderTimeoutS": 3, "IdleTimeoutS": 15,
+			"MaxHeaderBytes": f.maxHeader, "MaxBodyBytes": 1 << 20, "HeaderTimeoutS": 3, "IdleTimeoutS": f.idleTimeout,
 		}},
 	}
 	for v := 1; v <= f.version; v++ {
--- a/cmd/standin/emulator/instance.go
+++ b/cmd/standin/emulator/instance.go
@@ -196,6 +196,16 @@
 	_ = c.Close()
 }
 
+// CutHead returns a behavior that executes the request, and closes the connection after a part of the head of its response
+// whose length the function picks.
+func CutHead(pick func(n int) int) Behavior {
+	return func(c net.Conn, r *http.Request, _ *Instance) {
+		head := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Signature: s\r\nContent-Length: 4\r\n\r\n", r.Header.Get("Request-Id"))
+		_, _ = io.WriteString(c, head[:pick(len(head))])
+		_ = c.Close()
+	}
+}
+
 // AnswerTwice sends the response and then a duplicate of it on the same connection.
 func AnswerTwice(c net.Conn, r *http.Request, i *Instance) {
 	Answer(c, r, i)
--- a/internal/relayer/constants.go
+++ b/internal/relayer/constants.go
@@ -96,6 +96,8 @@
 	coldStartAge     = 4 * time.Second
 	coldStartShare   = 0.9
 	coldStartSeconds = 1.0
+	// lostBucketTTL is how long the bucket of an account is kept after another VM became its owner.
+	lostBucketTTL = time.Minute
 	// fallbackRateShare is the share of an account's rate that all VMs together admit without its owner. The rate
 	// rule allows a tenth above the rate, and its tolerance.
 	fallbackRateShare = 0.15
--- a/internal/relayer/limits.go
+++ b/internal/relayer/limits.go
@@ -24,6 +24,8 @@
 type limitBucket struct {
 	*limiter.Bucket
 	usedAt time.Time
+	// lost is set while this VM does not own the limit.
+	lost bool
 }
 
 func newLimits(r *Relayer) *limits {
@@ -124,15 +126,19 @@
 	return &wire.Taken{NextMs: uint32(min(next, maxLimitDelay).Milliseconds() + 1)}, nil
 }
 
-// keepOwned drops the buckets of limits that this VM does not own any more, as rates.keepOwned does.
-func (s *limits) keepOwned(p *placement) {
+// place empties the buckets of limits that this VM does not own: another owner may grant what accrues.
+func (s *limits) place(p *placement) {
+	now := s.relayer.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for i := range s.buckets {
+	for i, b := range s.buckets {
 		_, domain, _ := s.relayer.Tracker.Limit(i)
-		if o, ok := p.limitOwner(i, domain); !ok || o.Address != p.self.Address {
-			delete(s.buckets, i)
+		o, ok := p.limitOwner(i, domain)
+		owned := ok && o.Address == p.self.Address
+		if !owned || b.lost {
+			b.Take(now, b.Level(now), nil)
 		}
+		b.lost = !owned
 	}
 }
 
--- a/internal/relayer/loops.go
+++ b/internal/relayer/loops.go
@@ -108,7 +108,7 @@
 			r.markDown(now)
 		}
 		r.Tracker.Expire()
-		r.rates.noteContact()
+		r.rates.place(r.placement())
 	}
 }
 
--- a/internal/relayer/placement.go
+++ b/internal/relayer/placement.go
@@ -31,18 +31,21 @@
 	ok bool
 }
 
-// placement returns the placement among the VMs that this one knows. What belongs to roles that this VM lost is dropped.
+// placement returns the placement among the VMs that this one knows. A change of the roles of this VM is noted.
 func (r *Relayer) placement() *placement {
 	ms := r.Tracker.Members()
 	r.placementMu.Lock()
-	defer r.placementMu.Unlock()
-	if p := r.placed; p != nil && len(p.members) == len(ms) && (len(ms) == 0 || &p.members[0] == &ms[0]) {
+	p := r.placed
+	if p != nil && len(p.members) == len(ms) && (len(ms) == 0 || &p.members[0] == &ms[0]) {
+		r.placementMu.Unlock()
 		return p
 	}
-	r.placed = &placement{self: r.Self, members: ms, leaders: map[string][]placer.Candidate{}, owners: map[ownerKey]owner{}}
-	r.rates.keepOwned(r.placed)
-	r.limits.keepOwned(r.placed)
-	return r.placed
+	p = &placement{self: r.Self, members: ms, leaders: map[string][]placer.Candidate{}, owners: map[ownerKey]owner{}}
+	r.placed = p
+	r.placementMu.Unlock()
+	r.rates.place(p)
+	r.limits.place(p)
+	return p
 }
 
 // candidates returns the VMs of a domain, or of the fleet if it is empty, that may hold a soft role, weighted by capacity.
--- a/internal/relayer/rates.go
+++ b/internal/relayer/rates.go
@@ -20,17 +20,22 @@
 type rates struct {
 	relayer *Relayer
 	mu      sync.Mutex
-	buckets map[string]*limiter.WindowLimiter
-	contact contact
+	buckets map[string]*rateBucket
+	// placedAt is when place was called last.
+	placedAt time.Time
 	// fallbacks hold the accounts' state for admission while their owners do not answer.
 	fallbacks map[string]*fallback
 }
 
+// rateBucket is the state of an account's rate.
+type rateBucket struct {
+	*limiter.WindowLimiter
+	// ownedAt is when this VM was last known to be the owner.
+	ownedAt time.Time
+}
+
 func newRates(r *Relayer) *rates {
-	return &rates{
-		relayer: r, buckets: map[string]*limiter.WindowLimiter{}, fallbacks: map[string]*fallback{},
-		contact: contact{window: r.RateWindow, lost: limiter.NewWindowCounter(r.Clock.Now(), r.RateWindow)},
-	}
+	return &rates{relayer: r, buckets: map[string]*rateBucket{}, fallbacks: map[string]*fallback{}}
 }
 
 // Admission is the decision on one request of an account.
@@ -124,42 +129,48 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := r.Clock.Now()
-	share = s.contact.note(now, share)
 	b := s.buckets[account]
 	if b == nil {
 		initial := initialSeconds
 		if r.coldStart() {
 			initial = coldStartSeconds
 		}
-		b = limiter.NewWindowLimiter(now, r.RateWindow, l, limiter.Tokens(initialTokens+initial*l.Rate))
+		b = &rateBucket{limiter.NewWindowLimiter(now, r.RateWindow, l, limiter.Tokens(initialTokens+initial*l.Rate)), now}
 		s.buckets[account] = b
 		r.Logger.Info("owning rate", zap.String("account", account), zap.Float64("rate", l.Rate))
 	}
 	b.SetLimit(now, l)
-	if n := b.Take(now, want, share); n > 0 {
+	b.SetShare(now, share)
+	if n := b.Take(now, want); n > 0 {
 		return &wire.Taken{Tokens: uint32(n)}, nil
 	}
-	return &wire.Taken{NextMs: uint32(b.RetryAfter(now, share).Milliseconds() + 1)}, nil
+	return &wire.Taken{NextMs: uint32(b.RetryAfter(now).Milliseconds() + 1)}, nil
 }
 
-// noteContact records which share of the fleet this VM reaches now.
-func (s *rates) noteContact() {
+// place sets this VM's share of each rate: the part of the fleet that it reaches while it owns the rate, else none. When it
+// becomes the owner again, it must not go on with what it knew, as another owner granted tokens meanwhile. Nor may it start anew:
+// the role can change several times in a second.
+func (s *rates) place(p *placement) {
 	share := s.relayer.reachableShare()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.contact.note(s.relayer.Clock.Now(), share)
-}
-
-// keepOwned drops the buckets of accounts that this VM does not own any more. If it becomes the owner again, it must not go on
-// with what it knew: another owner granted tokens meanwhile.
-func (s *rates) keepOwned(p *placement) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for a := range s.buckets {
-		if o, ok := p.owner(rateKey(a), ""); !ok || o.Address != p.self.Address {
+	now := s.relayer.Clock.Now()
+	suspended := !s.placedAt.IsZero() && now.Sub(s.placedAt) > downAfter
+	for a, b := range s.buckets {
+		if suspended {
+			b.SetShare(s.placedAt, 0) // The others may have marked this VM down.
+		}
+		if o, ok := p.owner(rateKey(a), ""); ok && o.Address == p.self.Address {
+			b.SetShare(now, share)
+			b.ownedAt = now
+			continue
+		}
+		b.SetShare(now, 0)
+		if now.Sub(b.ownedAt) > lostBucketTTL {
 			delete(s.buckets, a)
 		}
 	}
+	s.placedAt = now
 }
 
 // rateKey returns the key by which the owner of an account's rate is placed.
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -311,8 +311,9 @@
 }
 
 // Refresh exchanges with the leader of this VM's domain at once, without waiting for changes. A leader sends its
-// observations to the outboxes of its peers instead.
+// observations to the outboxes of its peers instead. It also updates this VM's shares of rates.
 func (r *Relayer) Refresh(ctx context.Context) {
+	r.rates.place(r.placement())
 	l, ok := r.leader(r.Self.Domain)
 	if !ok || l.Address == r.Self.Address {
 		r.flushOutgoing()
--- a/pkg/limiter/window.go
+++ b/pkg/limiter/window.go
@@ -9,14 +9,19 @@
 type WindowLimiter struct {
 	limit  Limit
 	bucket *Bucket
-	// granted counts the tokens granted in the window.
-	granted *WindowCounter
+	// granted counts the tokens granted in the window, and others those that other limiters may have granted.
+	granted, others *WindowCounter
+	// share is the share of the limit that this limiter may grant, last set at sharedAt and last lowered at loweredAt.
+	share               float64
+	sharedAt, loweredAt time.Time
 }
 
 // NewWindowLimiter returns a limiter that counts all but initial of the allowed tokens as granted by an earlier
 // owner of the account in the window before now.
 func NewWindowLimiter(now time.Time, window time.Duration, l Limit, initial Tokens) *WindowLimiter {
-	w := &WindowLimiter{limit: l, granted: NewWindowCounter(now, window)}
+	w := &WindowLimiter{
+		limit: l, granted: NewWindowCounter(now, window), others: NewWindowCounter(now, window), share: 1, sharedAt: now,
+	}
 	w.bucket = NewBucket(now, w.pacingLimit(l), initial)
 	preGranted := max(0, w.maxPerWindow()-initial)
 	spread := min(preGranted, l.Refill(window))
@@ -25,6 +30,23 @@
 	return w
 }
 
+// SetShare sets the share of the limit that this limiter may grant from now on, as others may grant the rest. It is 1 at first.
+// What others may have granted counts for a window: the rate while they could, and the burst at the end of that time, since
+// another limiter saves it up in its first window.
+func (w *WindowLimiter) SetShare(now time.Time, share float64) {
+	if d := min(now.Sub(w.sharedAt), w.others.length); d > 0 {
+		w.others.Add(now, Tokens(1-w.share)*w.limit.Refill(d))
+	}
+	switch {
+	case share < w.share:
+		w.loweredAt = now
+	case share > w.share:
+		saved := min(1, now.Sub(w.loweredAt).Seconds()/w.others.length.Seconds())
+		w.others.Add(now, Tokens((share-w.share)*saved)*w.limit.Burst)
+	}
+	w.share, w.sharedAt = share, now
+}
+
 // maxPerWindow returns the most tokens that may be granted in one window.
 func (w *WindowLimiter) maxPerWindow() Tokens {
 	return w.limit.Refill(w.granted.length) + w.limit.Burst
@@ -46,13 +68,14 @@
 	w.bucket.SetLimit(now, w.pacingLimit(l))
 	if after := w.maxPerWindow(); after < before {
 		w.granted.Scale(after / before)
+		w.others.Scale(after / before)
 	}
 }
 
-// Take grants up to n whole tokens and returns how many. It keeps the tokens granted in a window within
-// the given share of what the window allows.
-func (w *WindowLimiter) Take(now time.Time, n int, share float64) int {
-	got := min(n, int(w.bucket.Level(now)+epsilon), int(w.remaining(now, share)+epsilon))
+// Take grants up to n whole tokens and returns how many. It keeps the tokens granted in a window within this limiter's share of
+// what the window allows, and those of all limiters within the whole.
+func (w *WindowLimiter) Take(now time.Time, n int) int {
+	got := min(n, int(w.bucket.Level(now)+epsilon), int(w.remaining(w.granted.Sum(now), w.others.Sum(now))+epsilon))
 	if got <= 0 {
 		return 0
 	}
@@ -61,22 +84,24 @@
 	return got
 }
 
-// remaining returns how many tokens of the share may still be granted in the window that ends at now; it is
+// remaining returns how many tokens may still be granted in a window in which this limiter and others granted some; it is
 // negative if the share was exceeded.
-func (w *WindowLimiter) remaining(now time.Time, share float64) Tokens {
-	return Tokens(share)*w.maxPerWindow() - w.granted.Sum(now)
+func (w *WindowLimiter) remaining(granted, others Tokens) Tokens {
+	most := w.maxPerWindow()
+	return min(Tokens(w.share)*most, max(0, most-others)) - granted
 }
 
-// RetryAfter returns the time until Take can grant a token with the given share, if no other is taken before. It
-// is the length of the window if the rate is not positive.
-func (w *WindowLimiter) RetryAfter(now time.Time, share float64) time.Duration {
+// RetryAfter returns the time until Take can grant a token, if no other is taken before and the share stays. It is the length of
+// the window if the rate is not positive.
+func (w *WindowLimiter) RetryAfter(now time.Time) time.Duration {
 	if w.limit.Rate <= 0 {
 		return w.granted.length
 	}
 	wait := time.Duration(float64(1-w.bucket.Level(now)) / w.pacingLimit(w.limit).Rate * float64(time.Second))
-	remaining := w.remaining(now, share)
-	for i := int64(1); remaining < 1 && i <= int64(len(w.granted.counts)); i++ {
-		remaining += *w.granted.count(w.granted.lastSlot + i)
+	granted, others := w.granted.Sum(now), w.others.Sum(now)
+	for i := int64(1); w.remaining(granted, others) < 1 && i <= int64(len(w.granted.counts)); i++ {
+		granted -= *w.granted.count(w.granted.lastSlot + i)
+		others -= *w.others.count(w.others.lastSlot + i)
 		wait = max(wait, time.Duration(i)*w.granted.length/slotsPerWindow)
 	}
 	return max(0, wait)
--- a/pkg/limiter/window_test.go
+++ b/pkg/limiter/window_test.go
@@ -25,7 +25,7 @@
 		var gs []grant
 		for range rapid.IntRange(1, 300).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
-			gs = append(gs, grant{now, w.Take(now, rapid.IntRange(1, 400).Draw(t, "want"), 1)})
+			gs = append(gs, grant{now, w.Take(now, rapid.IntRange(1, 400).Draw(t, "want"))})
 		}
 		most := l.Refill(window) + l.Burst
 		for i, g := range gs {
@@ -50,7 +50,7 @@
 	granted := 0
 	for i := range 6000 {
 		now = now.Add(5 * time.Millisecond)
-		n := w.Take(now, 1, 1)
+		n := w.Take(now, 1)
 		if i >= 2000 {
 			granted += n
 		}
@@ -67,7 +67,7 @@
 	var grants []time.Time
 	take := func(w *limiter.WindowLimiter, d time.Duration) {
 		for end := now.Add(d); now.Before(end); now = now.Add(2 * time.Millisecond) {
-			for range w.Take(now, 5, 1) {
+			for range w.Take(now, 5) {
 				grants = append(grants, now)
 			}
 		}
@@ -94,9 +94,9 @@
 		w := limiter.NewWindowLimiter(now, window, l, 1)
 		for range 100 {
 			now = now.Add(time.Duration(rapid.IntRange(1, 200).Draw(t, "ms")) * time.Millisecond)
-			if w.Take(now, 1, 1) == 0 {
-				now = now.Add(w.RetryAfter(now, 1) + time.Millisecond)
-				require.Equal(t, 1, w.Take(now, 1, 1))
+			if w.Take(now, 1) == 0 {
+				now = now.Add(w.RetryAfter(now) + time.Millisecond)
+				require.Equal(t, 1, w.Take(now, 1))
 			}
 		}
 	})
@@ -109,7 +109,7 @@
 	w := limiter.NewWindowLimiter(now, window, limiter.Limit{Rate: 100, Burst: 100}, 100)
 	serve := func(d time.Duration) (n int) {
 		for end := now.Add(d); now.Before(end); now = now.Add(time.Millisecond) {
-			n += w.Take(now, 1, 1)
+			n += w.Take(now, 1)
 		}
 		return n
 	}
@@ -130,7 +130,8 @@
 	for i := range 4000 {
 		now = now.Add(5 * time.Millisecond)
 		share := []float64{1, 0.3}[i/200%2]
-		for range w.Take(now, 3, share) {
+		w.SetShare(now, share)
+		for range w.Take(now, 3) {
 			grants = append(grants, now)
 		}
 	}
