--- a/internal/receiver/stop.go
+++ b/internal/receiver/stop.go
@@ -13,8 +13,10 @@
 
 // stop decides which requests may begin while the VM stops.
 type stop struct {
-	began  context.Context
-	begin  context.CancelFunc
+	// began ends when the stop begins, and begin ends it.
+	began context.Context
+	begin context.CancelFunc
+	// finish is set before begin is called.
 	finish time.Time
 }
 
--- a/internal/relayer/limits.go
+++ b/internal/relayer/limits.go
@@ -150,37 +150,3 @@
 		}
 	}
 }
-
-func toStatement(now time.Time, l tracker.Statement) *wire.Statement {
-	return &wire.Statement{Instance: l.Instance, Incarnation: l.Incarnation, Rate: l.Rate, AgeMs: ageMs(now, l.AsOf), Leaving: l.Leaving}
-}
-
-// fromStatement is the inverse of toStatement. The time that the message took is unknown, so a limit seems later than it is.
-func fromStatement(now time.Time, m *wire.Statement) tracker.Statement {
-	return tracker.Statement{
-		Instance: m.GetInstance(), Incarnation: m.GetIncarnation(), Rate: m.GetRate(),
-		AsOf: now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond), Leaving: m.GetLeaving(),
-	}
-}
-
-// fromStatements decodes limits in a message that was sent at the given time or later. The end of a limit must not seem later
-// than it is, else it could hide a limit that came after it.
-func fromStatements(now, sent time.Time, ms []*wire.Statement) []tracker.Statement {
-	ls := make([]tracker.Statement, 0, len(ms))
-	for _, m := range ms {
-		at := now
-		if m.GetRate() == 0 {
-			at = sent
-		}
-		ls = append(ls, fromStatement(at, m))
-	}
-	return ls
-}
-
-func toStatements(now time.Time, ls []tracker.Statement) []*wire.Statement {
-	ms := make([]*wire.Statement, 0, len(ls))
-	for _, l := range ls {
-		ms = append(ms, toStatement(now, l))
-	}
-	return ms
-}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -111,7 +111,7 @@
 	sequence    uint64
 	// loadsSentAt is when this VM's loads were last sent to the peer.
 	loadsSentAt time.Time
-	// statementsSequence is the tracker's sequence number up to which the peer has the limits that this VM observed.
+	// statementsSequence is the tracker's sequence number up to which the peer has the statements that this VM observed.
 	statementsSequence uint64
 }
 
--- a/internal/tracker/statements.go
+++ b/internal/tracker/statements.go
@@ -125,7 +125,7 @@
 
 // Limit returns the limit of an instance and the instance's failure domain, which is empty if unknown; ok is false if the
 // instance has no limit.
-func (t *Tracker) Limit(instance string) (l Statement, domain string, ok bool) {
+func (t *Tracker) Limit(instance string) (s Statement, domain string, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.records[instance]
@@ -142,11 +142,11 @@
 // limitRate returns the limit of an instance in requests per second, zero if it has none. An instance that started again
 // has stated nothing yet. t.mu must be held.
 func (t *Tracker) limitRate(instance string) float64 {
-	l, r := t.statements[instance], t.records[instance]
-	if l == nil || r != nil && r.Incarnation > l.Incarnation {
+	s, r := t.statements[instance], t.records[instance]
+	if s == nil || r != nil && r.Incarnation > s.Incarnation {
 		return 0
 	}
-	return l.Rate
+	return s.Rate
 }
 
 // leaves reports whether an instance stated that it leaves. One that started again has not. t.mu must be held.
@@ -160,19 +160,19 @@
 func (t *Tracker) ObservedStatements(sequence uint64) ([]Statement, uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var ls []Statement
-	for _, l := range t.statements {
-		if l.observedSequence > sequence {
-			ls = append(ls, l.Statement)
+	var ss []Statement
+	for _, s := range t.statements {
+		if s.observedSequence > sequence {
+			ss = append(ss, s.Statement)
 		}
 	}
-	return ls, t.sequence
+	return ss, t.sequence
 }
 
 // expireStatements drops the statements of instances that are unknown. t.mu must be held.
 func (t *Tracker) expireStatements(now time.Time) {
-	for id, l := range t.statements {
-		if t.records[id] == nil && now.Sub(l.AsOf) > goneTTL {
+	for id, s := range t.statements {
+		if t.records[id] == nil && now.Sub(s.AsOf) > goneTTL {
 			delete(t.statements, id)
 		}
 	}
