Send a result to the holders of its record until they have it

A caller of serve that retried a request with an idempotency key through another VM was told for as long as the record lasted that the first attempt still ran, though it had been answered.

Cause: the result was sent to each holder once, within 0.5 s, and errors were ignored. It is now sent again with growing pauses while the VM holds the record; a failure is logged, and a planned stop waits for it within its time to hand over.

TestResultsReachHoldersThatMissedThem cuts the holders' links for 1 s when the answer comes.

--- a/internal/server/constants.go
+++ b/internal/server/constants.go
@@ -19,6 +19,9 @@
 	tokenTimeout = 250 * time.Millisecond
 	// recordTimeout bounds a request about idempotency records, and one for the handoff of a rate partition.
 	recordTimeout = 500 * time.Millisecond
+	// finishRetryDelay is the delay before a result is sent again to a holder, which doubles up to maxFinishRetryDelay.
+	finishRetryDelay    = 100 * time.Millisecond
+	maxFinishRetryDelay = 15 * time.Second
 	// fleetInterval is the interval of the fleet loop, which proposes fleet maps and takes over partitions.
 	fleetInterval = 500 * time.Millisecond
 	// firstProposalDelay is how long the first VM in order waits before it proposes a fleet map; each later VM waits
--- a/internal/server/records.go
+++ b/internal/server/records.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/jacinthproxy/jacinthproxy/internal/messenger"
 	"github.com/jacinthproxy/jacinthproxy/internal/messenger/wire"
 	"github.com/jacinthproxy/jacinthproxy/pkg/placer"
@@ -113,15 +116,18 @@
 		q.finish(holders, a, true, res)
 		return
 	}
-	q.server.tasks.Go(func() { q.finish(holders, a, false, res) })
+	q.server.finishing.Add(1)
+	q.server.tasks.Go(func() {
+		defer q.server.finishing.Add(-1)
+		q.finish(holders, a, false, res)
+	})
 }
 
-// finish sends the end of an attempt to all holders in parallel and returns when all replied or recordTimeout is
-// over. Errors are ignored.
+// finish sends the end of an attempt to all holders in parallel and returns when all replied or their time is over. A
+// cancellation is sent once, since the caller waits for it. A result is sent until it arrives: without it the holders would
+// take the attempt for one that still runs.
 func (q quorumRecorder) finish(holders []placer.VM, a recorder.Attempt, canceled bool, res recorder.Result) {
 	s := q.server
-	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
-	defer cancel()
 	var wg sync.WaitGroup
 	for _, h := range holders {
 		if h.Same(s.self) {
@@ -129,14 +135,36 @@
 			continue
 		}
 		wg.Go(func() {
-			_, _ = s.messenger.Call(ctx, h.Address, &wire.Request{Body: &wire.Request_Finish{
-				Finish: &wire.Finish{Attempt: toAttempt(a), Canceled: canceled, Result: toResult(res)},
-			}})
+			err := q.sendFinish(h, a, canceled, res)
+			for delay := finishRetryDelay; err != nil && !canceled && q.holds(h, a) && delay < maxFinishRetryDelay; delay *= 2 {
+				s.sleep(s.running, delay)
+				err = q.sendFinish(h, a, canceled, res)
+			}
+			if err != nil {
+				s.logger.Warn("the end of an attempt is not recorded at a holder", zap.Stringer("holder", h.Address), zap.String("account", a.Account),
+					zap.String("attempt", a.ID), zap.Bool("canceled", canceled), zap.Error(err))
+			}
 		})
 	}
 	wg.Wait()
 }
 
+// sendFinish sends the end of an attempt to one holder.
+func (q quorumRecorder) sendFinish(to placer.VM, a recorder.Attempt, canceled bool, res recorder.Result) error {
+	ctx, cancel := context.WithTimeout(q.server.running, recordTimeout)
+	defer cancel()
+	_, err := q.server.messenger.Call(ctx, to.Address, &wire.Request{Body: &wire.Request_Finish{
+		Finish: &wire.Finish{Attempt: toAttempt(a), Canceled: canceled, Result: toResult(res)},
+	}})
+	return err
+}
+
+// holds reports whether a VM is still a holder of an attempt's record.
+func (q quorumRecorder) holds(h placer.VM, a recorder.Attempt) bool {
+	holders, _ := q.server.recorder.Holders(a.Account, a.Key)
+	return slices.ContainsFunc(holders, h.Same)
+}
+
 func (s *Server) finishRecord(a recorder.Attempt, canceled bool, res recorder.Result) {
 	if canceled {
 		s.recorder.Cancel(a)
--- a/internal/server/run.go
+++ b/internal/server/run.go
@@ -38,6 +38,7 @@
 	<-ctx.Done()
 	err = s.stop(kill, callerServer)
 	cancel()
+	s.end()
 	_ = operatorServer.Close()
 	_ = peers.Close()
 	s.messenger.Close()
@@ -124,14 +125,14 @@
 }
 
 // handOver waits until other VMs have taken over the rate partitions of this VM, and then until its dispatchers
-// have no more requests. It gives up after handOverTimeout.
+// have no more requests and all results are recorded at their holders. It gives up after handOverTimeout.
 func (s *Server) handOver(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
 	for ctx.Err() == nil && s.witness.ReadsLog(s.clock.Now()) && s.holdsPartitions() {
 		s.sleep(ctx, 100*time.Millisecond)
 	}
-	for ctx.Err() == nil && s.dispatcher.Busy() {
+	for ctx.Err() == nil && (s.dispatcher.Busy() || s.finishing.Load() > 0) {
 		s.sleep(ctx, 100*time.Millisecond)
 	}
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -89,6 +89,11 @@
 	events     *operator.Events
 	proposals  proposalState
 	stopping   atomic.Bool
+	// running ends when the stop is over, and end ends it.
+	running context.Context
+	end     context.CancelFunc
+	// finishing counts the results that are being sent to the holders of their records.
+	finishing atomic.Int64
 	// stopsAt is when a stop that has begun cuts off requests; nil before.
 	stopsAt atomic.Pointer[time.Time]
 	// broadcast triggers heartbeats to all neighbours when the known VMs changed.
@@ -142,6 +147,7 @@
 		return nil, err
 	}
 	s.metrics = m
+	s.running, s.end = context.WithCancel(context.Background())
 	s.caller = caller.New(caller.Options{
 		Fleet: s, Admitter: s.admitter, Sender: s.sender, Recorder: quorumRecorder{s}, Observer: s.metrics, Index: s.follower.Index,
 		Limits: caller.Limits{MaxBody: st.Callers.MaxBody, BodyTimeout: st.Callers.BodyTimeout, MaxRequests: st.Callers.MaxRequests},
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -14,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/jacinthproxy/jacinthproxy/internal/caller"
+	"github.com/jacinthproxy/jacinthproxy/pkg/placer"
 	"github.com/jacinthproxy/jacinthproxy/pkg/witness"
 )
 
@@ -270,3 +272,39 @@
 		}
 	}
 }
+
+// A result that its holders do not get would leave an attempt that seems to run for ever.
+func TestResultsReachHoldersThatMissedThem(t *testing.T) {
+	c := newCluster(t, 6)
+	require.True(t, c.answered(0))
+	through := slices.IndexFunc(c.daemons, func(d *daemon) bool { return len(d.dispatcher.Status()) > 0 })
+	require.GreaterOrEqual(t, through, 0)
+	d, key := c.daemons[through], ""
+	var holders []placer.VM
+	for n := 0; key == "" || slices.ContainsFunc(holders, d.self.Same); n++ {
+		key = fmt.Sprint("one", n)
+		holders, _ = d.recorder.Holders("t/a", key)
+	}
+	c.workTime.Store(int64(300 * time.Millisecond))
+	answered := make(chan reply, 1)
+	go func() {
+		r, _ := c.send(through, http.MethodPost, "/t/post/x", "X-Job", key, caller.HeaderIdempotencyKey, key)
+		answered <- r
+	}()
+	c.eventually(func() bool { return c.runCount(key) == 1 }, "the request runs")
+	for _, h := range holders {
+		c.linkCut(h.Address).Store(true)
+	}
+	r := <-answered
+	require.Equal(t, "answered", r.outcome)
+	time.Sleep(2 * recordTimeout)
+	for _, h := range holders {
+		c.linkCut(h.Address).Store(false)
+	}
+	other := (through + 1) % len(c.daemons)
+	c.eventually(func() bool {
+		again, err := c.send(other, http.MethodPost, "/t/post/x", "X-Job", key, caller.HeaderIdempotencyKey, key, caller.HeaderAttempt, "2")
+		return err == nil && again.outcome == "answered" && again.body == r.body
+	}, "the first attempt's answer")
+	require.EqualValues(t, 1, c.runCount(key))
+}
