--- a/cmd/soak/callers.go
+++ b/cmd/soak/callers.go
@@ -215,22 +215,18 @@
 type slowBody struct {
 	r     io.Reader
 	pause time.Duration
+	begun bool
 }
 
 // Read implements io.Reader.
 func (b *slowBody) Read(p []byte) (int, error) {
-	if len(p) > 1 && b.pause > 0 {
-		p = p[:1]
-	} else {
-		time.Sleep(b.pause)
-		b.pause = 0
+	if !b.begun {
+		b.begun = true
+		return b.r.Read(p[:1])
 	}
-	n, err := b.r.Read(p)
-	if b.pause > 0 {
-		time.Sleep(b.pause)
-		b.pause = 0
-	}
-	return n, err
+	time.Sleep(b.pause)
+	b.pause = 0
+	return b.r.Read(p)
 }
 
 // do sends a request and reads the complete response. It sets a forged Tenant header, which daemons must not pass on.
@@ -241,7 +237,7 @@
 	}
 	var src io.Reader = strings.NewReader(body)
 	if c.random.IntN(20) == 0 {
-		src = &slowBody{src, time.Duration(c.random.Int64N(int64(maxBodyPause)))}
+		src = &slowBody{r: src, pause: time.Duration(c.random.Int64N(int64(maxBodyPause)))}
 	}
 	req, err := http.NewRequest(http.MethodPost, "http://"+d.callerAddress()+path, src)
 	if err != nil {
