Do not report an error when the listener of a stop is closed twice

Cause: the stop closes the listener, and http.Server.Close closes it again unless Serve has returned meanwhile. Shutdown, which did the same before, is not called any more. That error is now left out; it is no request's.

No test of its own: one that delays Accept waits for ever, since Close waits for Serve.

--- a/internal/runner/frontend.go
+++ b/internal/runner/frontend.go
@@ -128,7 +128,10 @@
 	if busy > 0 {
 		err = errors.CombineErrors(err, errors.Newf("%d requests in flight were cut", busy))
 	}
-	return errors.CombineErrors(err, f.server.Close())
+	if e := f.server.Close(); !errors.Is(e, net.ErrClosed) { // The server may not know yet that the listener is closed.
+		err = errors.CombineErrors(err, e)
+	}
+	return err
 }
 
 // busy returns the number of connections with a request that is read or served.
