--- a/internal/forwarder/limit.go
+++ b/internal/forwarder/limit.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 	"strconv"
-	"strings"
-	"time"
 )
 
 // Limit is the value of a limit header.
@@ -19,19 +17,6 @@
 // that its limit has ended.
 const minLimit = 0.1
 
-// maxPause is the longest pause that a response can ask for.
-const maxPause = 24 * time.Hour
-
-// parseRetryAfter parses the seconds in a Retry-After header, which may have a fraction. It returns zero if the header is
-// empty, is a date or cannot be parsed.
-func parseRetryAfter(h string) time.Duration {
-	v, err := strconv.ParseFloat(strings.TrimSpace(h), 64)
-	if err != nil || math.IsNaN(v) || v <= 0 {
-		return 0
-	}
-	return time.Duration(min(v, maxPause.Seconds()) * float64(time.Second))
-}
-
 // parseLimit parses a limit header, which may be empty.
 func parseLimit(h string) Limit {
 	if h == "" {
