Trust a refusal only if it names the request

Callers were told with 503 that a request had not run, or it ran a second time at another instance, although its instance was running it. The forwarder took a response with Not-Executed, or a 421, that names no request for the refusal of the request that uses the connection. Instances echo the id in all their responses, and what they send beyond those belongs to no request.

A response without the id of the request is skipped on a connection that has carried others, and an error on a new one, so the request may have run. Neither its refusal, its pause nor its body counts; that the instance leaves does. Only the statuses of refusals can say not run. Skipped responses are logged with the request ("responses of no request").

The dispatcher of serve had the same cause in the other order: it looked at the state of a 503 before its id, so a refusal of another request counted. Where a backend server has named requests, one that names none does not count any more either.

--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -204,6 +204,17 @@
 			s.endlessShare, s.headCutShare = 0, 0
 		}, s.ID
 	}},
+	{"server sends refusals of no request", false, func(f *fleet, r *rand.Rand) (func(), string) {
+		s := f.randomServer(r)
+		s.mu.Lock()
+		s.strayShare = r.Float64()
+		s.mu.Unlock()
+		return func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.strayShare = 0
+		}, s.ID
+	}},
 	{"limits changed", false, func(f *fleet, r *rand.Rand) (func(), string) {
 		f.mu.Lock()
 		f.maxHeader, f.idleTimeout = raisedHeader, 10+r.IntN(10)
--- a/cmd/soak/fleet.go
+++ b/cmd/soak/fleet.go
@@ -137,6 +137,8 @@
 	// pauseShare is the share of requests that are refused with a pause, endlessShare of those that get bytes without end, and
 	// headCutShare of those whose answer ends in its head.
 	pauseShare, endlessShare, headCutShare float64
+	// strayShare is the share of answers with a refusal that names no request before them.
+	strayShare float64
 }
 
 // fleet consists of the daemons, the store and the backend servers of a soak.
@@ -245,6 +247,7 @@
 	pause, endless, headCut := r.Float64() < s.pauseShare, r.Float64() < s.endlessShare, r.Float64() < s.headCutShare
 	fail, shed, hang, cutting, copied := s.failShare, s.shedShare, s.hangShare, s.cutShare, r.Float64() < s.copyShare
 	late := time.Duration(r.Int64N(int64(maxWorkTime)))
+	stray, strayStatus := r.Float64() < s.strayShare, strayStatuses[r.IntN(len(strayStatuses))]
 	s.mu.Unlock()
 	id := req.Header.Get("Request-Id")
 	f.checker.recordArrival(s.ID, s.service, id, time.Now())
@@ -254,7 +257,7 @@
 		emulator.Pause(statedPause)(c, req, in)
 		return
 	case x < shed && copied:
-		emulator.Late(emulator.Refuse, late)(c, req, in)
+		emulator.Late(emulator.Shed, late)(c, req, in)
 		return
 	case x < shed:
 		emulator.Shed(c, req, in)
@@ -275,11 +278,16 @@
 		emulator.Truncate(c, req, in)
 	case copied:
 		emulator.Late(emulator.Answer, late)(c, req, in)
+	case stray:
+		emulator.StrayRefusal(strayStatus, emulator.Answer)(c, req, in)
 	default:
 		emulator.Answer(c, req, in)
 	}
 }
 
+// strayStatuses are the statuses of refusals that name no request.
+var strayStatuses = []int{http.StatusBadRequest, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
+
 // stateRemoved is the state of a server whose registration ended although it never announced that it leaves.
 const stateRemoved = "removed"
 
--- a/cmd/standin/backend.go
+++ b/cmd/standin/backend.go
@@ -126,6 +126,7 @@
 	body, _ := io.ReadAll(r.Body)
 	b.recordRequest(r, body)
 	if state := b.admit(f); state != "" {
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 		w.Header().Set("X-Backend-State", state)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/internal/dispatcher/backend.go
+++ b/internal/dispatcher/backend.go
@@ -33,6 +33,8 @@
 type backend struct {
 	address   netip.AddrPort
 	transport *http.Transport
+	// echoesIDs is set once a response named its request: one that names none then belongs to no request.
+	echoesIDs atomic.Bool
 }
 
 func newBackend(a netip.AddrPort) *backend {
@@ -174,12 +176,15 @@
 // receive checks a response and reads its body into memory. If the body is longer than MaxBufferedBody, the remainder
 // is left to the reader of Rest.
 func (b *backend) receive(r Request, resp *http.Response) (Answer, error) {
+	id := resp.Header.Get(HeaderRequestID)
+	if id == r.ID {
+		b.echoesIDs.Store(true)
+	} else if id != "" || b.echoesIDs.Load() {
+		return Answer{}, errors.Wrapf(errRequestIDMismatch, "id %q came for %q", id, r.ID)
+	}
 	if err := refusal(resp); err != nil {
 		return Answer{}, err
 	}
-	if id := resp.Header.Get(HeaderRequestID); id != "" && id != r.ID {
-		return Answer{}, errors.Wrapf(errRequestIDMismatch, "id %q came for %q", id, r.ID)
-	}
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Close {
 		return Answer{}, errCloseDelimited
 	}
--- a/internal/dispatcher/backend_test.go
+++ b/internal/dispatcher/backend_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptest"
+	"net/netip"
 	"runtime"
 	"testing"
 	"time"
@@ -35,3 +37,30 @@
 		})
 	}
 }
+
+// A refusal that names another request, or none, must not say that the current one has not run.
+func TestRefusalOfAnotherRequestDoesNotSayThatTheCurrentOneHasNotRun(t *testing.T) {
+	for name, id := range map[string]string{"another": "0", "none": ""} {
+		t.Run(name, func(t *testing.T) {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.Header.Get(HeaderRequestID) == "1" {
+					w.Header().Set(HeaderRequestID, "1")
+					return
+				}
+				if id != "" {
+					w.Header().Set(HeaderRequestID, id)
+				}
+				w.Header().Set(HeaderState, stateShedding)
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}))
+			t.Cleanup(s.Close)
+			b := newBackend(netip.MustParseAddrPort(s.Listener.Addr().String()))
+			t.Cleanup(b.close)
+			_, err := b.send(t.Context(), Request{ID: "1", Method: http.MethodGet, Target: "/"})
+			require.NoError(t, err)
+			_, err = b.send(t.Context(), Request{ID: "2", Method: http.MethodGet, Target: "/"})
+			require.ErrorIs(t, err, errRequestIDMismatch)
+			require.NotErrorIs(t, err, errNotStarted)
+		})
+	}
+}
--- a/internal/dispatcher/constants.go
+++ b/internal/dispatcher/constants.go
@@ -53,7 +53,7 @@
 
 // Headers between this system and the backend servers.
 const (
-	// HeaderRequestID carries the request ID; a response may echo it.
+	// HeaderRequestID carries the request ID; responses may echo it, either all or none of a backend server.
 	HeaderRequestID = "X-Request-Id"
 	// HeaderDeadline carries the time left for the request, in milliseconds.
 	HeaderDeadline = "X-Request-Timeout-Ms"
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -91,6 +91,9 @@
 	Pause time.Duration
 	// Reused is set if the connection had carried other requests before.
 	Reused bool
+	// Skipped is the number of final responses that came before it and belong to another request or to none. It also holds
+	// for a response that is returned with an error.
+	Skipped int
 	// hold is the memory reserved for Body; nil if there is none.
 	hold *hold
 }
@@ -145,7 +148,7 @@
 		if ctx.Err() != nil {
 			err = errors.Mark(err, ctx.Err())
 		}
-		return Response{Leaving: resp.Leaving, Pause: resp.Pause}, err
+		return Response{Leaving: resp.Leaving, Pause: resp.Pause, Skipped: resp.Skipped}, err
 	}
 	resp.Reused = c.requests > 1
 	if resp.BodyRest != nil {
@@ -249,11 +252,11 @@
 	return errors.Wrap(w.Flush(), "write chunked request")
 }
 
-// readResponse reads the response to a request and skips interim responses and responses to earlier requests. What these
-// state of the instance holds all the same.
+// readResponse reads the response to a request and skips interim responses and those that belong to another request or to
+// none. That the instance leaves holds also if one of these states it.
 func (f *Forwarder) readResponse(c *conn, r Request) (resp Response, err error) {
-	leaving, pause := false, time.Duration(0)
-	defer func() { resp.Leaving, resp.Pause = leaving, pause }()
+	leaving, pause, skipped := false, time.Duration(0), 0
+	defer func() { resp.Leaving, resp.Pause, resp.Skipped = leaving, pause, skipped }()
 	for range maxResponsesRead {
 		c.in.limit(maxHeadBytes)
 		httpResp, err := http.ReadResponse(c.r, &http.Request{Method: r.Method}) //nolint:bodyclose // Reading to its end or closing the connection ends it.
@@ -265,8 +268,12 @@
 		if httpResp.StatusCode < http.StatusOK && httpResp.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
-		id := httpResp.Header.Get(f.headers.RequestID)
-		if id != "" && id != r.ID {
+		if id := httpResp.Header.Get(f.headers.RequestID); id != r.ID {
+			skipped++
+			if id == "" && c.requests == 1 {
+				// No earlier request of the connection can have caused it, but nothing binds what it states to this one.
+				return Response{}, errors.New("the answer names no request")
+			}
 			if !skipBody(httpResp) {
 				return Response{}, errors.Newf("the answer belongs to request %q", id)
 			}
@@ -275,7 +282,7 @@
 		if httpResp.StatusCode == http.StatusServiceUnavailable {
 			pause = parseRetryAfter(httpResp.Header.Get("Retry-After"))
 		}
-		return f.readBody(c, r, httpResp, id)
+		return f.readBody(c, httpResp)
 	}
 	return Response{}, errors.New("too many answers belong to other requests")
 }
@@ -286,6 +293,18 @@
 	return httpResp.StatusCode != http.StatusMisdirectedRequest && httpResp.Header.Get(f.headers.Leaving) == "1"
 }
 
+// statesNotRun reports whether a response states that the instance did not run the request. What another status says goes
+// before the header.
+func (f *Forwarder) statesNotRun(httpResp *http.Response) bool {
+	switch httpResp.StatusCode {
+	case http.StatusMisdirectedRequest:
+		return true
+	case http.StatusBadRequest, http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return httpResp.Header.Get(f.headers.NotRun) != ""
+	}
+	return false
+}
+
 // skipBody reads the body of a response to another request, and reports whether another response may follow.
 func skipBody(httpResp *http.Response) bool {
 	if httpResp.Close {
@@ -297,10 +316,10 @@
 
 // readBody reads the body of a response, or its beginning if it exceeds maxBufferedBody or the memory for it. It does not
 // return a body of that length unless the instance signed it as an answer: it may have no end.
-func (f *Forwarder) readBody(c *conn, r Request, httpResp *http.Response, id string) (Response, error) {
+func (f *Forwarder) readBody(c *conn, httpResp *http.Response) (Response, error) {
 	resp := Response{
 		Status: httpResp.StatusCode, Header: httpResp.Header, Length: httpResp.ContentLength,
-		NotRun: httpResp.Header.Get(f.headers.NotRun) != "" || httpResp.StatusCode == http.StatusMisdirectedRequest,
+		NotRun: f.statesNotRun(httpResp),
 		Signed: httpResp.Header.Get(f.headers.Signature) != "",
 		Limit:  parseLimit(httpResp.Header.Get(f.headers.Limit)),
 	}
@@ -328,8 +347,7 @@
 		resp.BodyRest = httpResp.Body
 		return resp, nil
 	}
-	// A response without an id might be a duplicate of an earlier one, so the connection is not reused after it.
-	c.reusable = !httpResp.Close && id == r.ID && c.r.Buffered() == 0
+	c.reusable = !httpResp.Close && c.r.Buffered() == 0
 	c.keepAlive = keepAliveTimeout(httpResp.Header.Get("Keep-Alive"))
 	return resp, nil
 }
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -196,6 +196,9 @@
 // the response. Only an instance that signed its response stated that it has no limit.
 func (r *retrier) observeStatements(a *attempt) {
 	resp := a.response
+	if resp.Skipped > 0 {
+		r.Logger.Info("responses of no request", zap.String("id", r.id), zap.String("instance", a.choice.ID), zap.Int("skipped", resp.Skipped))
+	}
 	if resp.Pause > 0 {
 		r.Picker.Pause(a.choice, resp.Pause)
 		r.Logger.Info("instance asked for a pause", zap.String("id", r.id), zap.String("instance", a.choice.ID), zap.Duration("pause", resp.Pause))
