Follow what an instance states again after it started again

Requests still reached a backend server that had said in its answers that it leaves (DRAIN). The logs of daemon 5 show one "instance stated" line for the first incarnation, none for the second, and an "instance left during request" line with each request: the tracker held the instance for leaving, the picker did not.

applyStatement compared the rate and the leaving of a statement with those of the one known before, and not the incarnation that they are of. The second statement thus changed nothing: those who pick instances were not notified, and peers were not told. A limit that a restarted instance states once more had the same cause.

A statement of another incarnation is a change now, unless it states nothing. The log line names the incarnation.

Failed before: TestInstanceThatStartsAgainAndStatesTheSameIsFollowed, both cases.

--- a/internal/tracker/statements.go
+++ b/internal/tracker/statements.go
@@ -31,6 +31,12 @@
 	return s.Rate > 0 && (o.Rate == 0 || s.Rate < o.Rate)
 }
 
+// sameContent reports whether s has the same consequences as o. What another incarnation stated has none for this one.
+func (s Statement) sameContent(o Statement) bool {
+	states := s.Rate > 0 || s.Leaving
+	return s.Rate == o.Rate && s.Leaving == o.Leaving && (s.Incarnation == o.Incarnation || !states)
+}
+
 // statementRecord is what is known of an instance's statements.
 type statementRecord struct {
 	Statement
@@ -113,13 +119,13 @@
 			known.observedSequence = known.sequence
 		}
 	}
-	if known.Rate == before.Rate && known.Leaving == before.Leaving {
+	if known.sameContent(before) {
 		return false
 	}
 	t.markStatement(known)
 	t.countChange(true)
 	t.logger.Info("instance stated", zap.String("id", s.Instance), zap.String("source", source), zap.Float64("rate", known.Rate),
-		zap.Float64("rateBefore", before.Rate), zap.Bool("leaving", known.Leaving))
+		zap.Float64("rateBefore", before.Rate), zap.Bool("leaving", known.Leaving), zap.Int64("incarnation", known.Incarnation))
 	return true
 }
 
--- a/internal/tracker/statements_test.go
+++ b/internal/tracker/statements_test.go
@@ -103,6 +103,47 @@
 	require.Equal(t, 1, usable(tr), "a late response of the earlier incarnation")
 }
 
+// What an instance states after it started again is news, even if it had stated the same before.
+func TestInstanceThatStartsAgainAndStatesTheSameIsFollowed(t *testing.T) {
+	for name, c := range map[string]struct {
+		state    func(tr *tracker.Tracker, c *clockwork.FakeClock, incarnation int64)
+		followed func(tr *tracker.Tracker) bool
+	}{
+		"that it leaves": {
+			func(tr *tracker.Tracker, _ *clockwork.FakeClock, incarnation int64) { tr.MarkLeaving("i", incarnation) },
+			func(tr *tracker.Tracker) bool { return usable(tr) == 0 },
+		},
+		"a limit": {
+			func(tr *tracker.Tracker, c *clockwork.FakeClock, _ int64) { observe(tr, c, 5) },
+			func(tr *tracker.Tracker) bool { return tr.UsableInstances()[0].Limit == 5 },
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tr, clock := newTracker()
+			other := tracker.New(clock, zap.NewNop())
+			e := entry("i", 1, tracker.ConditionReady)
+			var notified, observed uint64
+			tr.OnInstancesChange(func() { notified++ })
+			for range 2 {
+				e.Incarnation++
+				e.Offset++
+				for _, x := range []*tracker.Tracker{tr, other} {
+					x.ApplyRegistrations(clock.Now(), []tracker.Entry{e}, false, e.Offset+1)
+				}
+				before, sequence := notified, observed
+				c.state(tr, clock, e.Incarnation)
+				require.True(t, c.followed(tr))
+				require.Greater(t, notified, before, "instances are picked from what was last notified")
+				var ss []tracker.Statement
+				ss, observed = tr.ObservedStatements(sequence)
+				require.Len(t, ss, 1)
+				other.MergeStatements("peer", ss)
+				require.True(t, c.followed(other))
+			}
+		})
+	}
+}
+
 // Other VMs must not learn each for itself that an instance leaves.
 func TestLeavingIsRelayed(t *testing.T) {
 	a, c := newTracker()
