Keep the pause of the current incarnation against a late refusal of the one before

An instance that started again and asked for a pause could get requests during it (BUDGET) after a late refusal to a request that had been sent before the start: the pause of the earlier incarnation replaced that of the current one, and then did not apply to it. Found by reading, beside the statements of instances that start again; no run met it.

Failed before: TestPauseOfAnEarlierIncarnationDoesNotReplaceTheCurrentOne.

--- a/pkg/balancer/pause.go
+++ b/pkg/balancer/pause.go
@@ -9,9 +9,9 @@
 }
 
 // Pause keeps all requests away from the instance of a choice until a given time, unless it starts again. An earlier pause
-// that is longer holds on.
+// that is longer, or of a later incarnation, holds on.
 func (b *Balancer) Pause(c Choice, until time.Time) {
-	if p := b.pauses[c.ID]; p.incarnation == c.Incarnation && p.until.After(until) {
+	if p := b.pauses[c.ID]; p.incarnation > c.Incarnation || p.incarnation == c.Incarnation && p.until.After(until) {
 		return
 	}
 	b.pauses[c.ID] = pause{c.Incarnation, until}
--- a/pkg/balancer/pause_test.go
+++ b/pkg/balancer/pause_test.go
@@ -60,3 +60,17 @@
 	require.True(t, ok)
 	require.Equal(t, is[1].ID, c.ID)
 }
+
+// A late refusal of an earlier incarnation must not end the pause that the current one asked for.
+func TestPauseOfAnEarlierIncarnationDoesNotReplaceTheCurrentOne(t *testing.T) {
+	b := newBalancer(1)
+	is := instances(1)
+	before := balancer.Choice{Instance: is[0]}
+	is[0].Incarnation++
+	b.SetInstances(start, is)
+	b.Pause(balancer.Choice{Instance: is[0]}, start.Add(time.Hour))
+	b.Pause(before, start.Add(time.Second))
+	b.SetInstances(start, is)
+	_, ok := b.Pick(start.Add(time.Minute), balancer.Request{})
+	require.False(t, ok)
+}
