--- a/cmd/soak/checker.go
+++ b/cmd/soak/checker.go
@@ -288,9 +288,9 @@
 	c.addViolation(guaranteeRecovery, "%s is not ready %v after the last fault", process, recoveryTimeout)
 }
 
-// report checks the rates over the whole run, and returns one line for each violated guarantee. It leaves out the
-// guarantees with a time bound unless withTimed is set.
-func (c *checker) report(withTimed bool) []string {
+// report checks the rates over the whole run, and returns one line for each violated guarantee, and the largest share of the
+// allowed repeats that a service got. It leaves out the guarantees with a time bound unless withTimed is set.
+func (c *checker) report(withTimed bool) (lines []string, repeats float64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for a, limit := range c.limits {
@@ -308,8 +308,7 @@
 			}
 		}
 	}
-	c.checkRepeats()
-	var lines []string
+	repeats = c.checkRepeats()
 	for g, fs := range c.violations {
 		if !withTimed && slices.Contains(timeBound, g) {
 			continue
@@ -317,7 +316,7 @@
 		lines = append(lines, fmt.Sprintf("BROKEN %dx: %s: %s", len(fs), g, strings.Join(fs[:min(3, len(fs))], "; ")))
 	}
 	slices.Sort(lines)
-	return lines
+	return lines, repeats
 }
 
 // counts returns how many requests were sent, and how many ran.
--- a/cmd/soak/checker_test.go
+++ b/cmd/soak/checker_test.go
@@ -133,7 +133,8 @@
 			c.recordSent("safe", "a", "ledger", "p", true, start)
 			c.recordSent("once", "a", "ledger", "p", false, start)
 			f(c)
-			return c.report(true)
+			found, _ := c.report(true)
+			return found
 		}
 		found := check(x.breaks)
 		require.Len(t, found, 1, x.guarantee)
--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -265,6 +265,32 @@
 	}},
 }
 
+// outages are the faults that use up the budget of retries and let it be earned again.
+var outages = []fault{
+	{"most servers degraded", false, func(f *fleet, r *rand.Rand) (func(), string) {
+		set := func(fail, shed, cut float64) {
+			for i, s := range f.servers {
+				if i%8 == 0 {
+					continue
+				}
+				s.mu.Lock()
+				s.failShare, s.shedShare, s.cutShare = fail, shed, cut
+				s.mu.Unlock()
+			}
+		}
+		fail, shed, cut := 0.4+r.Float64()/3, r.Float64()/6, r.Float64()/10
+		set(fail, shed, cut)
+		return func() { set(0, 0, 0) }, fmt.Sprintf("fail %.2f shed %.2f cut %.2f", fail, shed, cut)
+	}},
+	{"kill most", true, func(f *fleet, r *rand.Rand) (func(), string) {
+		n := len(f.daemons)/2 + r.IntN(len(f.daemons)/2)
+		for _, i := range r.Perm(len(f.daemons))[:n] {
+			f.daemons[i].signal(syscall.SIGKILL)
+		}
+		return f.startAll, fmt.Sprint(n, " daemons")
+	}},
+}
+
 // strangerAddress is the address of a server that is no backend server.
 const strangerAddress = "127.0.6.251:9100"
 
@@ -306,7 +332,7 @@
 
 // inject injects random faults until the context ends, and returns when all of them have ended. Faults that suspend
 // time bounds start only in the first 8 s of each cycle of 15 s, so that the time bounds are checked in the rest of it.
-func (f *fleet) inject(ctx context.Context, r *rand.Rand, log func(string)) {
+func (f *fleet) inject(ctx context.Context, r *rand.Rand, faults []fault, log func(string)) {
 	slots := make(chan struct{}, maxConcurrentFaults)
 	start := time.Now()
 	for ctx.Err() == nil {
--- a/cmd/soak/fleet.go
+++ b/cmd/soak/fleet.go
@@ -248,6 +248,7 @@
 	fail, shed, hang, cutting, copied := s.failShare, s.shedShare, s.hangShare, s.cutShare, r.Float64() < s.copyShare
 	late := time.Duration(r.Int64N(int64(maxWorkTime)))
 	stray, strayStatus := r.Float64() < s.strayShare, strayStatuses[r.IntN(len(strayStatuses))]
+	refusal := refusalStatuses[r.IntN(len(refusalStatuses))]
 	s.mu.Unlock()
 	id := req.Header.Get("Request-Id")
 	f.checker.recordArrival(s.ID, s.service, id, time.Now())
@@ -257,10 +258,10 @@
 		emulator.Pause(statedPause)(c, req, in)
 		return
 	case x < shed && copied:
-		emulator.Late(emulator.Shed, late)(c, req, in)
+		emulator.Late(emulator.Refuse(refusal), late)(c, req, in)
 		return
 	case x < shed:
-		emulator.Shed(c, req, in)
+		emulator.Refuse(refusal)(c, req, in)
 		return
 	}
 	f.checker.recordRun(id, req.Header.Get("Tenant"), req.Header.Get("X-Api-Key"), s.ID, s.service, time.Now())
@@ -285,6 +286,9 @@
 	}
 }
 
+// refusalStatuses are the statuses with which a server refuses a request.
+var refusalStatuses = []int{http.StatusTooManyRequests, http.StatusServiceUnavailable}
+
 // strayStatuses are the statuses of refusals that name no request.
 var strayStatuses = []int{http.StatusBadRequest, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
 
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -21,6 +21,7 @@
 	Servers int           `default:"8" help:"How many backend servers to play."`
 	Callers int           `default:"12" help:"How many callers to play."`
 	Binary  string        `default:"bin/jacinthproxy" type:"existingfile" help:"The program."`
+	Outages bool          `help:"Inject only faults that let most servers fail or most daemons start again."`
 	Timed   bool          `default:"true" negatable:"" help:"Check promises with a bound of time, too."`
 	Work    string        `help:"Directory for settings and logs; a new one if empty."`
 }
@@ -72,7 +73,11 @@
 		g.Go(func() { f.watchConfiguration(ctx, d) })
 	}
 	injecting, cancel := context.WithTimeout(ctx, o.Length)
-	f.inject(injecting, r, log)
+	injected := faults
+	if o.Outages {
+		injected = outages
+	}
+	f.inject(injecting, r, injected, log)
 	cancel()
 	log("fault injection finished")
 	f.startAll()
@@ -87,8 +92,8 @@
 	g.Wait()
 	time.Sleep(requestTimeout) // Requests that still run may reveal a refusal that wrongly reported them as not run.
 	sent, ran := c.counts()
-	log(fmt.Sprintf("%d requests sent, %d ran", sent, ran))
-	found := c.report(o.Timed)
+	found, repeats := c.report(o.Timed)
+	log(fmt.Sprintf("%d requests sent, %d ran; repeats reached %.2f of what is allowed", sent, ran, repeats))
 	for _, l := range found {
 		log(l)
 	}
--- a/cmd/soak/statements.go
+++ b/cmd/soak/statements.go
@@ -83,8 +83,8 @@
 }
 
 // checkRepeats checks that no service got more repeats in a window than its requests in that window, the one before it or the
-// one half a window before it allow. c.mu must be held.
-func (c *checker) checkRepeats() {
+// one half a window before it allow. It returns the largest share of what is allowed that a service got. c.mu must be held.
+func (c *checker) checkRepeats() (share float64) {
 	for service, repeats := range c.repeats {
 		var sent []time.Time
 		for _, r := range c.requests {
@@ -94,6 +94,7 @@
 		}
 		slices.SortFunc(sent, time.Time.Compare)
 		slices.SortFunc(repeats, time.Time.Compare)
+		broken := false
 		for i, at := range repeats {
 			from := at.Add(-repeatWindow)
 			n := countBetween(repeats[:i+1], from, at)
@@ -101,12 +102,15 @@
 			for _, back := range []time.Duration{0, repeatWindow / 2, repeatWindow} {
 				requests = max(requests, countBetween(sent, from.Add(-back), at.Add(-back)))
 			}
-			if most := repeatRatio*float64(requests) + repeatSlack; float64(n) > most {
+			most := repeatRatio*float64(requests) + repeatSlack
+			share = max(share, float64(n)/most)
+			if float64(n) > most && !broken {
 				c.addViolation(guaranteeRepeats, "%s got %d repeats in %v; at most %.0f are allowed", service, n, repeatWindow, most)
-				break
+				broken = true
 			}
 		}
 	}
+	return share
 }
 
 // countBetween returns how many of the sorted times lie after from and not after to.
--- a/cmd/standin/emulator/instance.go
+++ b/cmd/standin/emulator/instance.go
@@ -87,7 +87,7 @@
 		lines = fmt.Sprintf("Server-Limit: %g\r\n", i.limit)
 	}
 	if i.leaving {
-		lines += "Server-Leaving: 1\r\n"
+		lines += "Server-Leaving: 1\r\nConnection: close\r\n"
 	}
 	return lines
 }
@@ -133,9 +133,18 @@
 		})
 		i.mu.Unlock()
 		b(c, req, i)
+		if i.isLeaving() {
+			return
+		}
 	}
 }
 
+func (i *Instance) isLeaving() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.leaving
+}
+
 // Rejected returns how many requests the instance rejected.
 func (i *Instance) Rejected() int {
 	i.mu.Lock()
@@ -171,9 +180,14 @@
 }
 
 // Shed rejects the request with 503 and does not execute it.
-func Shed(c net.Conn, r *http.Request, i *Instance) {
-	i.rejectLast()
-	refuse(c, http.StatusServiceUnavailable, "Request-Id: "+r.Header.Get("Request-Id")+"\r\n"+i.statements())
+func Shed(c net.Conn, r *http.Request, i *Instance) { Refuse(http.StatusServiceUnavailable)(c, r, i) }
+
+// Refuse returns a behavior that rejects the request with a status and does not execute it.
+func Refuse(status int) Behavior {
+	return func(c net.Conn, r *http.Request, i *Instance) {
+		i.rejectLast()
+		refuse(c, status, "Request-Id: "+r.Header.Get("Request-Id")+"\r\n"+i.statements())
+	}
 }
 
 // refuse writes a refusal with further header lines.
