--- a/cmd/soak/checker.go
+++ b/cmd/soak/checker.go
@@ -32,12 +32,15 @@
 	guaranteePause                guarantee = "a daemon sends nothing to a backend server for as long as it asked"
 	guaranteeRepeats              guarantee = "requests are not repeated beyond the budget"
 	guaranteeAllowed              guarantee = "a request that every configuration allows is not denied"
+	guaranteeAttempts             guarantee = "a request runs at no more backend servers than its route allows"
+	guaranteeDeadline             guarantee = "a backend server is given no more time than the caller waits"
 )
 
 // timeBound are the guarantees with a time bound. Their violations mean little on an overloaded machine.
 var timeBound = []guarantee{
 	guaranteeKeyWithdrawn, guaranteeRate, guaranteeDrain, guaranteeConfigurationApplied, guaranteePlannedStop,
 	guaranteeRecovery, guaranteeLimit, guaranteeStatedLeaving, guaranteePause, guaranteeRepeats,
+	guaranteeDeadline,
 }
 
 // The bounds of the checks. revocationBound is the RevocationS, and rateWindow the QuotaWindowS, of the daemons'
@@ -63,6 +66,8 @@
 	repeatWindow = 10 * time.Second
 	repeatRatio  = 0.2
 	repeatSlack  = 50
+	// deadlineMargin is how much longer than the caller waits a backend server may be given.
+	deadlineMargin = 500 * time.Millisecond
 )
 
 // request is the state of a caller's request.
@@ -148,6 +153,9 @@
 	if r.runs > 1 && !r.idempotent {
 		c.addViolation(guaranteeAtMostOnce, "%s ran %d times, last at %s", id, r.runs, server)
 	}
+	if r.runs == routeAttempts+1 && r.idempotent {
+		c.addViolation(guaranteeAttempts, "%s ran at %d servers, last at %s", id, r.runs, server)
+	}
 	if r.refused && !r.idempotent {
 		c.addViolation(guaranteeNotRun, "%s ran at %s after it had been refused", id, server)
 	}
@@ -162,6 +170,19 @@
 	}
 }
 
+// recordDeadline records how long a backend server may work on a request that it gets now.
+func (c *checker) recordDeadline(id string, left time.Duration, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.requests[id]
+	if r == nil || at.Sub(c.lastDisturbance) <= settleTime {
+		return
+	}
+	if late := at.Add(left).Sub(r.sentAt) - requestTimeout; late > deadlineMargin {
+		c.addViolation(guaranteeDeadline, "%s may run for %v after its caller has left", id, late)
+	}
+}
+
 // limitedServer is a backend server that states a limit, in requests per second.
 type limitedServer struct {
 	limit    float64
--- a/cmd/soak/checker_test.go
+++ b/cmd/soak/checker_test.go
@@ -127,6 +127,22 @@
 			c.recordWithdrawal("a", start)
 			c.recordAnswer("safe", answer{status: 401}, "p")
 		}},
+		{guaranteeAttempts, func(c *checker) {
+			for range routeAttempts + 1 {
+				c.recordRun("safe", "a", "", "i", "ledger", start)
+			}
+		}, func(c *checker) {
+			for range routeAttempts {
+				c.recordRun("safe", "a", "", "i", "ledger", start)
+			}
+		}},
+		{guaranteeDeadline, func(c *checker) {
+			c.recordDeadline("safe", requestTimeout, at(deadlineMargin+time.Millisecond))
+		}, func(c *checker) {
+			c.recordDeadline("safe", requestTimeout, at(deadlineMargin))
+			c.recordDisturbance(at(time.Second))
+			c.recordDeadline("safe", requestTimeout, at(time.Second+settleTime))
+		}},
 	} {
 		check := func(f func(c *checker)) []string {
 			c := newChecker(map[string]float64{"a": 10})
--- a/cmd/soak/fleet.go
+++ b/cmd/soak/fleet.go
@@ -3,12 +3,14 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -33,6 +35,8 @@
 	raisedHeader  = 64 << 10
 	// statedPause is the pause that backend servers ask for.
 	statedPause = 2 * time.Second
+	// routeAttempts is how many backend servers a request may be sent to.
+	routeAttempts = 2
 	// maxWorkTime bounds the random time that a request takes at a backend server that is not slow.
 	maxWorkTime = 60 * time.Millisecond
 )
@@ -252,6 +256,11 @@
 	s.mu.Unlock()
 	id := req.Header.Get("Request-Id")
 	f.checker.recordArrival(s.ID, s.service, id, time.Now())
+	ms, err := strconv.ParseInt(req.Header.Get("Deadline-Ms"), 10, 64)
+	if err != nil {
+		ms = math.MaxInt32 // The server would work for ever.
+	}
+	f.checker.recordDeadline(id, time.Duration(ms)*time.Millisecond, time.Now())
 	switch {
 	case pause:
 		f.checker.recordPause(s.ID, id, time.Now())
@@ -337,7 +346,7 @@
 func (f *fleet) putConfiguration() {
 	route := func(name, kind string, open bool) map[string]any {
 		return map[string]any{"ResourceKind": "Routes", "Metadata": map[string]string{"Name": name}, "Specification": map[string]any{
-			"Host": host, "PathPrefix": "/" + name + "/", "Kind": kind, "TimeoutS": 2, "TargetLatencyS": 0.5, "Attempts": 2,
+			"Host": host, "PathPrefix": "/" + name + "/", "Kind": kind, "TimeoutS": 2, "TargetLatencyS": 0.5, "Attempts": routeAttempts,
 			"Service": serviceLedger, "Public": open,
 		}}
 	}
