Bound the slack of the reachable share over all sides of a cut

More requests of a client account ran than its rate allows (QUOTA) while many VMs were each cut off from all others: every side of a cut added 0.03 of the whole rate to its share. That is 0.06 for two sides, as the comment said, and 0.48 for 15 VMs alone and the rest. Each side adds 0.03 of its own share now, together 0.03.

Failed before: TestSharesOfVMsThatAreEachCutOffAddUpToTheRate (1.06 for two VMs already).

--- a/internal/relayer/constants.go
+++ b/internal/relayer/constants.go
@@ -123,8 +123,8 @@
 	// downMemberTTL is how long a VM that went down without announcing that it leaves is counted as a VM that may
 	// still admit requests on its side of a network partition.
 	downMemberTTL = 30 * time.Second
-	// reachableSlack is added to the share of the fleet that an owner reaches. Both sides of a network partition add
-	// it, which the tenth above the rate covers.
+	// reachableSlack is the part of the share of the fleet that an owner reaches which is added to it. All sides of a network
+	// partition together add it once, which the tenth above the rate covers.
 	reachableSlack = 0.03
 	// leaderCapacityShare is the minimum capacity of a leader, as a share of the capacity of the strongest candidate.
 	leaderCapacityShare = 0.5
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -412,7 +412,8 @@
 	return r.liveShare()
 }
 
-// liveShare returns the share of the fleet that this VM reaches, as a leader or through its leader, plus reachableSlack.
+// liveShare returns the share of the fleet that this VM reaches, as a leader or through its leader, and reachableSlack of it
+// more.
 func (r *Relayer) liveShare() float64 {
 	known := 0
 	now := r.Clock.Now()
@@ -431,5 +432,5 @@
 		}
 		r.mu.Unlock()
 	}
-	return min(1, float64(live)/float64(max(1, known))+reachableSlack)
+	return min(1, float64(live)/float64(max(1, known))*(1+reachableSlack))
 }
--- a/internal/relayer/leader_test.go
+++ b/internal/relayer/leader_test.go
@@ -123,3 +123,14 @@
 		require.False(t, r.leadsByContact())
 	}
 }
+
+// VMs that are each cut off from all others must not together grant much more than the rate.
+func TestSharesOfVMsThatAreEachCutOffAddUpToTheRate(t *testing.T) {
+	for _, n := range []int{2, 8, 44, 115} {
+		r := newTestRelayer(clockwork.NewFakeClock(), true)
+		for i := 1; i < n; i++ {
+			r.Tracker.UpdateMember(tracker.Member{VM: vm(1, i), Role: tracker.RoleReady, Capacity: 1, AsOf: r.Clock.Now()})
+		}
+		require.LessOrEqual(t, float64(n)*r.liveShare(), 1+reachableSlack+1e-9)
+	}
+}
