Let the soak's store reject some calls

The store may reject a call because all VMs together ask too often; that is no outage, and the bounds hold. The soak failed the store only as a whole, for seconds, so that no run could show what one failed call does.

--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -99,6 +100,20 @@
 			f.republishConfiguration()
 		}, fmt.Sprintf("copy %v old", age.Round(time.Millisecond))
 	}},
+	{"store rejects some calls", false, func(f *fleet, r *rand.Rand) (func(), string) {
+		var mu sync.Mutex // It guards r.
+		share := r.Float64() / 3
+		f.store.SetInterceptor(func(w http.ResponseWriter, _ *http.Request) bool {
+			mu.Lock()
+			rejects := r.Float64() < share
+			mu.Unlock()
+			if rejects {
+				w.WriteHeader(http.StatusTooManyRequests)
+			}
+			return rejects
+		})
+		return func() { f.store.SetInterceptor(nil) }, fmt.Sprintf("%.2f of them", share)
+	}},
 	{"daemon's link to the store impaired", true, func(f *fleet, r *rand.Rand) (func(), string) {
 		p := f.randomDaemon(r).storeProxy
 		ts := []impairment{{dropUp: true}, {dropDown: true}, {dropUp: true, dropDown: true}, {refuse: true}, {delay: 300 * time.Millisecond}}
