Test that a late reply between VMs is not taken for that of a later call

A stream carries another call only once its reply was read to the end, so this could not happen here. The test passes, and fails (2 expected, 1 got) when Open keeps the stream of a call that was given up.

--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -233,3 +234,37 @@
 		return s.Conn.Write(p)
 	}
 }
+
+// echoHandler answers a heartbeat with its sender, after it has said that it began and a short while.
+type echoHandler struct{ began chan struct{} }
+
+func (h echoHandler) Handle(_ context.Context, _ placer.VM, req *wire.Request) (*wire.Reply, func(func(proto.Message) error) error, error) {
+	h.began <- struct{}{}
+	<-time.After(rand.N(2 * time.Millisecond))
+	return &wire.Reply{Body: &wire.Reply_Heartbeat{Heartbeat: req.GetHeartbeat()}}, nil, nil
+}
+
+// The reply to a call that was given up must not be taken for that of a later call on the session.
+func TestLateReplyIsNotTakenForThatOfALaterCall(t *testing.T) {
+	h := echoHandler{make(chan struct{}, 1)}
+	a, b := startMessenger(t, nil), startMessenger(t, func(o *messenger.Options) { o.Handler = h })
+	for n := uint64(1); n <= 200; n++ {
+		ctx, cancel := context.WithCancel(t.Context())
+		given := make(chan struct{})
+		go func() {
+			defer close(given)
+			<-h.began
+			if n%2 == 1 {
+				cancel()
+			}
+		}()
+		rep, err := a.Call(ctx, b.address, &wire.Request{Body: &wire.Request_Heartbeat{Heartbeat: &wire.Heartbeat{From: &wire.VM{Incarnation: n}}}})
+		<-given
+		cancel()
+		if n%2 == 1 && err != nil {
+			continue
+		}
+		require.NoError(t, err)
+		require.Equal(t, n, rep.GetHeartbeat().GetFrom().GetIncarnation())
+	}
+}
