--- a/internal/forwarder/copies_test.go
+++ b/internal/forwarder/copies_test.go
@@ -11,6 +11,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/jacinthproxy/jacinthproxy/internal/forwarder"
 )
 
 // newScriptedInstance starts an instance that writes the same bytes for the nth request of a connection on every connection.
@@ -130,7 +132,6 @@
 
 // A refusal that names no request may belong to an earlier one: it must not say that the current one has not run.
 func TestRefusalThatNamesNoRequestDoesNotSayThatTheCurrentOneHasNotRun(t *testing.T) {
-	const own = "own"
 	for name, refusal := range map[string]string{
 		"503": "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
 		"429": "HTTP/1.1 429 Too Many Requests\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
@@ -138,12 +139,8 @@
 		"421": "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n",
 	} {
 		t.Run(name+" before the answer", func(t *testing.T) {
-			a, f := newScriptedInstance(t, answerTo("1", "first"), refusal+answerTo("2", own)), newForwarder()
-			_, err := sendTo(t, f, a, "1")
-			require.NoError(t, err)
-			resp, err := sendTo(t, f, a, "2")
-			require.NoError(t, err)
-			require.Equal(t, own, string(resp.Body))
+			resp := responseAfter(t, refusal)
+			require.Equal(t, "own", string(resp.Body))
 			require.False(t, resp.NotRun)
 		})
 		t.Run(name+" alone", func(t *testing.T) {
@@ -171,24 +168,24 @@
 	}
 }
 
-// An answer that names no request must not go to the caller of the current one.
-func TestAnswerThatNamesNoRequestIsNotPassedOn(t *testing.T) {
-	const stray = "HTTP/1.1 200 OK\r\nServer-Signature: sig-0\r\nContent-Length: 5\r\n\r\nstray"
+// responseAfter returns the response to request 2 on a connection on which a stray response comes before the answer to it.
+func responseAfter(t *testing.T, stray string) forwarder.Response {
 	a, f := newScriptedInstance(t, answerTo("1", "first"), stray+answerTo("2", "own")), newForwarder()
 	_, err := sendTo(t, f, a, "1")
 	require.NoError(t, err)
 	resp, err := sendTo(t, f, a, "2")
 	require.NoError(t, err)
+	return resp
+}
+
+// An answer that names no request must not go to the caller of the current one.
+func TestAnswerThatNamesNoRequestIsNotPassedOn(t *testing.T) {
+	resp := responseAfter(t, "HTTP/1.1 200 OK\r\nServer-Signature: sig-0\r\nContent-Length: 5\r\n\r\nstray")
 	require.Equal(t, "own", string(resp.Body))
 }
 
 // A pause asked for in a response that names no request may be an earlier one.
 func TestPauseThatNamesNoRequestIsIgnored(t *testing.T) {
-	const pause = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRetry-After: 9\r\nContent-Length: 0\r\n\r\n"
-	a, f := newScriptedInstance(t, answerTo("1", "first"), pause+answerTo("2", "own")), newForwarder()
-	_, err := sendTo(t, f, a, "1")
-	require.NoError(t, err)
-	resp, err := sendTo(t, f, a, "2")
-	require.NoError(t, err)
+	resp := responseAfter(t, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRetry-After: 9\r\nContent-Length: 0\r\n\r\n")
 	require.Zero(t, resp.Pause)
 }
