--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -293,8 +293,8 @@
 	return httpResp.StatusCode != http.StatusMisdirectedRequest && httpResp.Header.Get(f.headers.Leaving) == "1"
 }
 
-// statesNotRun reports whether a response states that the instance did not run the request. What another status says goes
-// before the header.
+// statesNotRun reports whether a response states that the instance did not run the request. Any other status says that it
+// may have, whatever the header.
 func (f *Forwarder) statesNotRun(httpResp *http.Response) bool {
 	switch httpResp.StatusCode {
 	case http.StatusMisdirectedRequest:
