--- a/cmd/standin/emulator/instance.go
+++ b/cmd/standin/emulator/instance.go
@@ -35,6 +35,16 @@
 	limit float64
 	// leaving is set if its responses state that it leaves.
 	leaving bool
+	// copies decides for each refusal whether a copy of it is sent; nil sends none.
+	copies func() bool
+}
+
+// instanceConn is a connection to an instance.
+type instanceConn struct {
+	*net.TCPConn
+	// refusals are the refusals to copy, by the ID of the refused request, and lastRefused is the ID of the last one.
+	refusals    map[string][]byte
+	lastRefused string
 }
 
 // NewInstance starts an instance that listens on a free port of 127.0.0.1 and answers every request with 200.
@@ -78,6 +88,14 @@
 	i.leaving = leaving
 }
 
+// SetCopies sets a function that decides for each refusal whether the instance writes it once more on its connection: before its
+// response to the same request, if that is sent again, or else to the next one.
+func (i *Instance) SetCopies(copies func() bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.copies = copies
+}
+
 // statements returns the header lines of what the instance states of itself.
 func (i *Instance) statements() string {
 	i.mu.Lock()
@@ -105,11 +123,13 @@
 		if err != nil {
 			return
 		}
-		go i.serveConn(c)
+		if t, ok := c.(*net.TCPConn); ok {
+			go i.serveConn(&instanceConn{TCPConn: t, refusals: map[string][]byte{}})
+		}
 	}
 }
 
-func (i *Instance) serveConn(c net.Conn) {
+func (i *Instance) serveConn(c *instanceConn) {
 	defer func() { _ = c.Close() }()
 	r := bufio.NewReader(c)
 	for {
@@ -121,14 +141,16 @@
 		if err != nil {
 			return
 		}
+		id := req.Header.Get("Request-Id")
+		c.writeCopy(id)
 		if e := req.Header.Get("Expected-Instance"); e != "" && e != i.ID {
-			_, _ = fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: %s\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", req.Header.Get("Request-Id"), i.ID)
+			writeRefusal(c, i, id, fmt.Sprintf("HTTP/1.1 421 Misdirected Request\r\nRequest-Id: %s\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", id, i.ID))
 			continue
 		}
 		i.mu.Lock()
 		b := i.behavior
 		i.runs = append(i.runs, Request{
-			ID: req.Header.Get("Request-Id"), Method: req.Method, Target: req.RequestURI, Account: req.Header.Get("Tenant"),
+			ID: id, Method: req.Method, Target: req.RequestURI, Account: req.Header.Get("Tenant"),
 			Key: req.Header.Get("X-Api-Key"), Deadline: req.Header.Get("Deadline-Ms"), Body: string(body),
 		})
 		i.mu.Unlock()
@@ -139,6 +161,27 @@
 	}
 }
 
+// writeCopy writes the copy of a refusal before the response to a request: that of the same request, or else the last one.
+func (c *instanceConn) writeCopy(id string) {
+	copied, ok := c.refusals[id]
+	if !ok {
+		copied = c.refusals[c.lastRefused]
+	}
+	_, _ = c.Write(copied)
+	c.lastRefused = ""
+}
+
+// writeRefusal writes a refusal of a request, and keeps it if a copy of it is to be sent.
+func writeRefusal(c net.Conn, i *Instance, id, refusal string) {
+	i.mu.Lock()
+	copies := i.copies
+	i.mu.Unlock()
+	if ic, ok := c.(*instanceConn); ok && copies != nil && copies() {
+		ic.refusals[id], ic.lastRefused = []byte(refusal), id
+	}
+	_, _ = io.WriteString(c, refusal)
+}
+
 func (i *Instance) isLeaving() bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -186,26 +229,27 @@
 func Refuse(status int) Behavior {
 	return func(c net.Conn, r *http.Request, i *Instance) {
 		i.rejectLast()
-		refuse(c, status, "Request-Id: "+r.Header.Get("Request-Id")+"\r\n"+i.statements())
+		id := r.Header.Get("Request-Id")
+		writeRefusal(c, i, id, refusal(status, "Request-Id: "+id+"\r\n"+i.statements()))
 	}
 }
 
-// refuse writes a refusal with further header lines.
-func refuse(c net.Conn, status int, header string) {
-	_, _ = fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nNot-Executed: 1\r\n%sContent-Length: 0\r\n\r\n", status, http.StatusText(status), header)
+// refusal returns a refusal with further header lines.
+func refusal(status int, header string) string {
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\nNot-Executed: 1\r\n%sContent-Length: 0\r\n\r\n", status, http.StatusText(status), header)
 }
 
 // StrayRefusal returns a behavior that first writes a refusal that names no request and then behaves as b.
 func StrayRefusal(status int, b Behavior) Behavior {
 	return func(c net.Conn, r *http.Request, i *Instance) {
-		refuse(c, status, "")
+		_, _ = io.WriteString(c, refusal(status, ""))
 		b(c, r, i)
 	}
 }
 
 // Reset executes the request and resets the TCP connection instead of responding.
 func Reset(c net.Conn, _ *http.Request, _ *Instance) {
-	if t, ok := c.(*net.TCPConn); ok {
+	if t, ok := c.(interface{ SetLinger(sec int) error }); ok {
 		_ = t.SetLinger(0)
 	}
 	_ = c.Close()
@@ -264,7 +308,8 @@
 func Pause(d time.Duration) Behavior {
 	return func(c net.Conn, r *http.Request, i *Instance) {
 		i.rejectLast()
-		refuse(c, http.StatusServiceUnavailable, fmt.Sprintf("Request-Id: %s\r\nRetry-After: %g\r\n", r.Header.Get("Request-Id"), d.Seconds()))
+		id := r.Header.Get("Request-Id")
+		writeRefusal(c, i, id, refusal(http.StatusServiceUnavailable, fmt.Sprintf("Request-Id: %s\r\nRetry-After: %g\r\n", id, d.Seconds())))
 	}
 }
 
--- a/internal/forwarder/copies_test.go
+++ b/internal/forwarder/copies_test.go
@@ -9,9 +9,11 @@
 	"net/netip"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/jacinthproxy/jacinthproxy/cmd/standin/emulator"
 	"github.com/jacinthproxy/jacinthproxy/internal/forwarder"
 )
 
@@ -189,3 +191,40 @@
 	resp := responseAfter(t, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRetry-After: 9\r\nContent-Length: 0\r\n\r\n")
 	require.Zero(t, resp.Pause)
 }
+
+// The copy of a refusal names the request, and says nothing of the same request when that is sent again.
+func TestCopyOfARefusalIsNotTakenForTheAnswerToTheSameRequestSentAgain(t *testing.T) {
+	const moved = "i-0"
+	refused := request("1")
+	for name, b := range map[string]emulator.Behavior{
+		"503":   emulator.Refuse(http.StatusServiceUnavailable),
+		"429":   emulator.Refuse(http.StatusTooManyRequests),
+		"421":   nil,
+		"pause": emulator.Pause(time.Hour),
+	} {
+		for _, between := range []int{0, 1, 5, 40} {
+			t.Run(fmt.Sprintf("%s, %d requests between", name, between), func(t *testing.T) {
+				i, f := newInstance(t, b), newForwarder()
+				i.SetCopies(func() bool { return true })
+				first := refused
+				first.Header = refused.Header.Clone()
+				if b == nil {
+					first.Header.Set("Expected-Instance", moved)
+				}
+				resp, err := f.Send(t.Context(), i.Address(), first, maxIdle)
+				require.NoError(t, err)
+				require.True(t, resp.NotRun)
+				i.SetBehavior(emulator.Answer)
+				for n := range between {
+					_, err := sendTo(t, f, i.Address(), fmt.Sprint("other-", n))
+					require.NoError(t, err)
+				}
+				resp, err = f.Send(t.Context(), i.Address(), refused, maxIdle)
+				require.NoError(t, err)
+				require.False(t, resp.NotRun)
+				require.Zero(t, resp.Pause)
+				require.Equal(t, "from i-1", string(resp.Body))
+			})
+		}
+	}
+}
