Let the soak's servers start again at their addresses

A server's process now ends in a crash or while idle, and a new one serves at its address, under its ID or another one, up to four times in a row. New servers, and those that repeat answers, write a random share of their refusals once more on the connection. The service vault has one of eight addresses and gets requests that may run once only, with up to three attempts. The checker keeps what a server stated by its start instead of its ID, so a late answer of an earlier start no longer counts for the next one.

--- a/cmd/soak/callers.go
+++ b/cmd/soak/callers.go
@@ -64,8 +64,10 @@
 		}
 		account, path := "large", "/safe/x"
 		switch x := c.random.Float64(); {
-		case x < 0.45:
+		case x < 0.3:
 			path = "/once/x"
+		case x < 0.45:
+			path = "/pay/x"
 		case x < 0.6:
 			account, path = "small", "/once/x"
 		case x < 0.7:
@@ -149,6 +151,8 @@
 	switch {
 	case strings.HasPrefix(path, "/upload/"):
 		return serviceArchive
+	case strings.HasPrefix(path, "/pay/"):
+		return serviceVault
 	case strings.HasPrefix(path, "/split/"):
 		return ""
 	}
@@ -156,7 +160,7 @@
 }
 
 func isIdempotent(path string) bool {
-	return !strings.HasPrefix(path, "/once/") && !strings.HasPrefix(path, "/upload/")
+	return !strings.HasPrefix(path, "/once/") && !strings.HasPrefix(path, "/pay/") && !strings.HasPrefix(path, "/upload/")
 }
 
 // sendAhead sends several idempotent requests on a connection before it reads the first answer. The answers must come in
--- a/cmd/soak/checker.go
+++ b/cmd/soak/checker.go
@@ -227,7 +227,7 @@
 	r := c.requests[id]
 	status, signature, server := a.status, a.signature, a.body
 	if a.leaving {
-		c.recordLeavingStatement(hop{process, strings.TrimPrefix(server, "from ")}, time.Now())
+		c.recordLeavingStatement(hop{process, strings.TrimPrefix(server, answerPrefix)}, time.Now())
 	}
 	switch status {
 	case 408, 421, 429, 503:
@@ -239,7 +239,7 @@
 		if signature != "sig-"+id {
 			c.addViolation(guaranteeOwnAnswer, "%s got an answer with signature %q, made by %s and sent by %s", id, signature, server, process)
 		}
-		if !strings.HasPrefix(server, "from ") {
+		if !strings.HasPrefix(server, answerPrefix) {
 			c.addViolation(guaranteeOwnAnswer, "%s got an answer of %d bytes that is not whole, sent by %s", id, len(server), process)
 		}
 	case 400, 401, 403, 404, 413, 431:
--- a/cmd/soak/checker_test.go
+++ b/cmd/soak/checker_test.go
@@ -104,10 +104,9 @@
 		}, func(c *checker) {
 			c.recordLeavingStatement(hop{"p", "i"}, at(-drainBound))
 			c.recordLeavingStatement(hop{"p after its restart", "i"}, at(-time.Hour))
-			c.recordLeavingStatement(hop{"p", "j"}, at(-time.Hour))
+			c.recordLeavingStatement(hop{"p", "j start 1"}, at(-time.Hour))
 			c.recordArrival("i", "ledger", "safe", start)
-			c.forgetStatements("j")
-			c.recordArrival("j", "ledger", "once", start)
+			c.recordArrival("j start 2", "ledger", "once", start)
 		}},
 		{guaranteePause, func(c *checker) {
 			c.recordPause("i", "safe", start)
--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -33,8 +34,10 @@
 	maxRepublishDelay = 300 * time.Millisecond
 	// maxUnusedRoutes is the upper bound of the number of routes that no caller uses.
 	maxUnusedRoutes = 3000
-	// maxConcurrentFaults is the maximum number of faults that are active at the same time.
+	// maxConcurrentFaults and maxConcurrentStarts are the maximum numbers of faults, and of starts of servers beside them, that are
+	// active at the same time.
 	maxConcurrentFaults = 3
+	maxConcurrentStarts = 2
 )
 
 func noop() {}
@@ -98,6 +101,7 @@
 			f.store.SetInterceptor(nil)
 			time.Sleep(late)
 			f.republishConfiguration()
+			f.removeEndedEntries()
 		}, fmt.Sprintf("copy %v old", age.Round(time.Millisecond))
 	}},
 	{"store rejects some calls", false, func(f *fleet, r *rand.Rand) (func(), string) {
@@ -167,19 +171,19 @@
 			state = stateRemoved
 		}
 		f.setState(s, state)
-		f.checker.recordLeaving(s.ID, time.Now())
+		f.checker.recordLeaving(s.name, time.Now())
 		return func() {
-			f.checker.recordLeaving(s.ID, time.Time{})
+			f.checker.recordLeaving(s.name, time.Time{})
 			f.setState(s, "ready")
 		}, s.ID + " " + state
 	}},
 	{"server states a limit", false, func(f *fleet, r *rand.Rand) (func(), string) {
 		s, limit := f.randomServer(r), 0.5+10*r.Float64()
 		s.SetLimit(limit)
-		f.checker.recordLimit(s.ID, limit, time.Now())
+		f.checker.recordLimit(s.name, limit, time.Now())
 		return func() {
 			time.Sleep(limitSettleTime + limitWindow)
-			f.checker.recordLimit(s.ID, 0, time.Now())
+			f.checker.recordLimit(s.name, 0, time.Now())
 			s.SetLimit(0)
 		}, fmt.Sprintf("%s %.1f/s", s.ID, limit)
 	}},
@@ -187,13 +191,7 @@
 		s := f.randomServer(r)
 		s.SetLeaving(true)
 		return func() {
-			// The statement holds for the incarnation.
-			s.mu.Lock()
-			s.startMs, s.heartbeats = time.Now().UnixMilli(), 0
-			s.mu.Unlock()
-			s.SetLeaving(false)
-			f.checker.forgetStatements(s.ID)
-			f.heartbeat(s)
+			f.startAgain(s, s.ID, s.service, r) // The statement holds for the incarnation.
 		}, s.ID
 	}},
 	{"server asks for pauses", false, func(f *fleet, r *rand.Rand) (func(), string) {
@@ -262,12 +260,12 @@
 	{"server repeats answers", false, func(f *fleet, r *rand.Rand) (func(), string) {
 		s := f.randomServer(r)
 		s.mu.Lock()
-		s.copyShare, s.shedShare = 1, r.Float64()/2
+		s.copyShare, s.refusalCopyShare, s.shedShare = 1, r.Float64(), r.Float64()/2
 		s.mu.Unlock()
 		return func() {
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			s.copyShare, s.shedShare = 0, 0
+			s.copyShare, s.refusalCopyShare, s.shedShare = 0, 0, 0
 		}, s.ID
 	}},
 	{"key withdrawn", false, func(f *fleet, _ *rand.Rand) (func(), string) {
@@ -284,7 +282,7 @@
 var outages = []fault{
 	{"most servers degraded", false, func(f *fleet, r *rand.Rand) (func(), string) {
 		set := func(fail, shed, cut float64) {
-			for i, s := range f.servers {
+			for i, s := range f.runningServers() {
 				if i%8 == 0 {
 					continue
 				}
@@ -320,7 +318,18 @@
 }
 
 func (f *fleet) randomDaemon(r *rand.Rand) *daemon { return f.daemons[r.IntN(len(f.daemons))] }
-func (f *fleet) randomServer(r *rand.Rand) *server { return f.servers[r.IntN(len(f.servers))] }
+
+// runningServers returns the running backend servers.
+func (f *fleet) runningServers() []*server {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.servers)
+}
+
+func (f *fleet) randomServer(r *rand.Rand) *server {
+	ss := f.runningServers()
+	return ss[r.IntN(len(ss))]
+}
 
 // startAll starts the daemons that are not running.
 func (f *fleet) startAll() {
@@ -345,10 +354,10 @@
 	}
 }
 
-// inject injects random faults until the context ends, and returns when all of them have ended. Faults that suspend
+// inject injects random faults, some of them at once, until the context ends, and returns when all of them have ended. Faults that suspend
 // time bounds start only in the first 8 s of each cycle of 15 s, so that the time bounds are checked in the rest of it.
-func (f *fleet) inject(ctx context.Context, r *rand.Rand, faults []fault, log func(string)) {
-	slots := make(chan struct{}, maxConcurrentFaults)
+func (f *fleet) inject(ctx context.Context, r *rand.Rand, faults []fault, atOnce int, log func(string)) {
+	slots := make(chan struct{}, atOnce)
 	start := time.Now()
 	for ctx.Err() == nil {
 		x := faults[r.IntN(len(faults))]
@@ -374,7 +383,7 @@
 		}()
 		time.Sleep(pause)
 	}
-	for range maxConcurrentFaults {
+	for range atOnce {
 		slots <- struct{}{}
 	}
 }
--- a/cmd/soak/fleet.go
+++ b/cmd/soak/fleet.go
@@ -26,9 +26,11 @@
 	topicConfiguration = "keyed.op"
 	topicRegistry      = "keyed.servers"
 	host               = "soak.example"
-	// The services. Uploads go to the archive, split requests to both, and all others to the ledger.
+	// The services. Uploads go to the archive, payments to the vault, which has few servers, split requests to the ledger and the
+	// archive, and all others to the ledger.
 	serviceLedger     = "ledger"
 	serviceArchive    = "archive"
+	serviceVault      = "vault"
 	heartbeatInterval = 1500 * time.Millisecond
 	// initialHeader and raisedHeader are the limits on headers before and after a change, in bytes.
 	initialHeader = 16 << 10
@@ -37,6 +39,8 @@
 	statedPause = 2 * time.Second
 	// routeAttempts is how many backend servers a request may be sent to.
 	routeAttempts = 2
+	// paymentAttempts is the same for a payment.
+	paymentAttempts = 3
 	// maxWorkTime bounds the random time that a request takes at a backend server that is not slow.
 	maxWorkTime = 60 * time.Millisecond
 )
@@ -116,9 +120,11 @@
 	return d.exited
 }
 
-// server is an emulated backend server behind a fault-injecting proxy.
+// server is one start of an emulated backend server behind a fault-injecting proxy, which has its address.
 type server struct {
 	*emulator.Instance
+	// name is unique to the start; the ID may be that of an earlier one.
+	name   string
 	proxy  *proxy
 	domain string
 	// service is the service that the server belongs to.
@@ -126,18 +132,23 @@
 
 	mu    sync.Mutex
 	state string
+	// ended is set when the process has ended, and atWork counts the requests that it works on.
+	ended  bool
+	atWork int
 	// startMs is the start time in Unix milliseconds, and heartbeats counts the heartbeats.
 	startMs    int64
 	heartbeats int64
 	// failShare, shedShare, hangShare and cutShare are the shares of requests that end with an error, are refused, get no
 	// answer or get a truncated one, and copyShare of those whose answer or refusal is sent once more, late. extraDelay is
 	// added to the time of each request.
-	failShare  float64
-	shedShare  float64
-	hangShare  float64
-	cutShare   float64
-	copyShare  float64
-	extraDelay time.Duration
+	failShare float64
+	shedShare float64
+	hangShare float64
+	cutShare  float64
+	copyShare float64
+	// refusalCopyShare is the share of refusals that are sent once more on their connection, before a later answer.
+	refusalCopyShare float64
+	extraDelay       time.Duration
 	// pauseShare is the share of requests that are refused with a pause, endlessShare of those that get bytes without end, and
 	// headCutShare of those whose answer ends in its head.
 	pauseShare, endlessShare, headCutShare float64
@@ -150,10 +161,14 @@
 	checker *checker
 	store   *emulator.Store
 	daemons []*daemon
-	servers []*server
 
-	mu      sync.Mutex
-	version int
+	mu sync.Mutex
+	// servers are the running backend servers, starts counts their starts, and endedIDs are the IDs whose entries were removed
+	// because no server will have them again.
+	servers  []*server
+	starts   int
+	endedIDs []string
+	version  int
 	// keys are the API keys of each client account.
 	keys map[string][]string
 	// maxHeader and idleTimeout, in bytes and seconds, are limits of the configuration.
@@ -233,20 +248,45 @@
 	if err != nil {
 		return err
 	}
-	s := &server{Instance: in, proxy: p, domain: failureDomains[i%len(failureDomains)], service: serviceLedger, state: "ready", startMs: time.Now().UnixMilli()}
-	if i%4 == 3 {
-		s.service = serviceArchive
+	service := serviceLedger
+	switch {
+	case i%4 == 3:
+		service = serviceArchive
+	case i%8 == 2:
+		service = serviceVault
 	}
-	r := rand.New(rand.NewPCG(seed, 1))
-	in.SetBehavior(func(c net.Conn, req *http.Request, in *emulator.Instance) { f.serve(s, r, c, req, in) })
+	s := f.newServer(in, p, failureDomains[i%len(failureDomains)], service, seed)
 	f.servers = append(f.servers, s)
 	f.heartbeat(s)
 	return nil
 }
 
+// newServer returns a server that was just started.
+func (f *fleet) newServer(in *emulator.Instance, p *proxy, domain, service string, seed uint64) *server {
+	f.mu.Lock()
+	f.starts++
+	name := fmt.Sprintf("%s start %d", in.ID, f.starts)
+	f.mu.Unlock()
+	s := &server{Instance: in, name: name, proxy: p, domain: domain, service: service, state: "ready", startMs: time.Now().UnixMilli()}
+	in.Body = answerPrefix + name
+	r := rand.New(rand.NewPCG(seed, 1))
+	in.SetBehavior(func(c net.Conn, req *http.Request, in *emulator.Instance) { f.serve(s, r, c, req, in) })
+	in.SetCopies(func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return r.Float64() < s.refusalCopyShare
+	})
+	return s
+}
+
+// answerPrefix precedes the name of a server in the bodies of its answers.
+const answerPrefix = "from "
+
 // serve handles a request at a backend server with the faults that are currently injected there.
 func (f *fleet) serve(s *server, r *rand.Rand, c net.Conn, req *http.Request, in *emulator.Instance) {
 	s.mu.Lock()
+	s.atWork++
+	defer s.finishWork()
 	x, work := r.Float64(), s.extraDelay+time.Duration(r.Int64N(int64(maxWorkTime)))
 	pause, endless, headCut := r.Float64() < s.pauseShare, r.Float64() < s.endlessShare, r.Float64() < s.headCutShare
 	fail, shed, hang, cutting, copied := s.failShare, s.shedShare, s.hangShare, s.cutShare, r.Float64() < s.copyShare
@@ -255,7 +295,7 @@
 	refusal := refusalStatuses[r.IntN(len(refusalStatuses))]
 	s.mu.Unlock()
 	id := req.Header.Get("Request-Id")
-	f.checker.recordArrival(s.ID, s.service, id, time.Now())
+	f.checker.recordArrival(s.name, s.service, id, time.Now())
 	ms, err := strconv.ParseInt(req.Header.Get("Deadline-Ms"), 10, 64)
 	if err != nil {
 		ms = math.MaxInt32 // The server would work for ever.
@@ -263,17 +303,17 @@
 	f.checker.recordDeadline(id, time.Duration(ms)*time.Millisecond, time.Now())
 	switch {
 	case pause:
-		f.checker.recordPause(s.ID, id, time.Now())
+		f.checker.recordPause(s.name, id, time.Now())
 		emulator.Pause(statedPause)(c, req, in)
 		return
-	case x < shed && copied:
+	case x < shed && copied && late < maxWorkTime/2:
 		emulator.Late(emulator.Refuse(refusal), late)(c, req, in)
 		return
 	case x < shed:
 		emulator.Refuse(refusal)(c, req, in)
 		return
 	}
-	f.checker.recordRun(id, req.Header.Get("Tenant"), req.Header.Get("X-Api-Key"), s.ID, s.service, time.Now())
+	f.checker.recordRun(id, req.Header.Get("Tenant"), req.Header.Get("X-Api-Key"), s.name, s.service, time.Now())
 	time.Sleep(work)
 	switch {
 	case endless:
@@ -295,6 +335,12 @@
 	}
 }
 
+func (s *server) finishWork() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.atWork--
+}
+
 // refusalStatuses are the statuses with which a server refuses a request.
 var refusalStatuses = []int{http.StatusTooManyRequests, http.StatusServiceUnavailable}
 
@@ -308,8 +354,11 @@
 func (f *fleet) heartbeat(s *server) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.ended {
+		return
+	}
 	if s.state == stateRemoved {
-		f.store.Put("keyed.servers", s.ID, nil)
+		f.store.Put(topicRegistry, s.ID, nil)
 		return
 	}
 	s.heartbeats++
@@ -354,8 +403,11 @@
 	upload["Specification"].(map[string]any)["Service"] = serviceArchive
 	delete(split["Specification"].(map[string]any), "Service")
 	split["Specification"].(map[string]any)["TrafficSplit"] = []map[string]any{{"Service": serviceLedger, "Weight": 3}, {"Service": serviceArchive, "Weight": 1}}
+	payment := route("pay", "non_idempotent", false)
+	payment["Specification"].(map[string]any)["Service"] = serviceVault
+	payment["Specification"].(map[string]any)["Attempts"] = paymentAttempts
 	rs := []any{
-		route("safe", "safe", false), route("once", "non_idempotent", false), route("open", "safe", true), upload, split,
+		route("safe", "safe", false), route("once", "non_idempotent", false), route("open", "safe", true), upload, split, payment,
 		map[string]any{"ResourceKind": "Limits", "Metadata": map[string]string{}, "Specification": map[string]any{
 			"MaxHeaderBytes": f.maxHeader, "MaxBodyBytes": 1 << 20, "HeaderTimeoutS": 3, "IdleTimeoutS": f.idleTimeout,
 		}},
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -77,7 +77,12 @@
 	if o.Outages {
 		injected = outages
 	}
-	f.inject(injecting, r, injected, log)
+	var injectors sync.WaitGroup
+	injectors.Go(func() { f.inject(injecting, r, injected, maxConcurrentFaults, log) })
+	injectors.Go(func() {
+		f.inject(injecting, rand.New(rand.NewPCG(o.Seed, 8)), serverStarts, maxConcurrentStarts, log)
+	})
+	injectors.Wait()
 	cancel()
 	log("fault injection finished")
 	f.startAll()
@@ -103,7 +108,7 @@
 // sendHeartbeats writes the heartbeats of all servers periodically until the context ends.
 func (f *fleet) sendHeartbeats(ctx context.Context) {
 	for ctx.Err() == nil {
-		for _, s := range f.servers {
+		for _, s := range f.runningServers() {
 			f.heartbeat(s)
 		}
 		select {
--- a/cmd/soak/proxy.go
+++ b/cmd/soak/proxy.go
@@ -22,9 +22,10 @@
 // proxy forwards connections to a server on loopback and injects network faults.
 type proxy struct {
 	listener net.Listener
-	target   string
 
-	mu         sync.Mutex
+	mu sync.Mutex
+	// target is the address of the server; empty while none runs.
+	target     string
 	impairment impairment
 	conns      map[*link]bool
 }
@@ -54,6 +55,15 @@
 	p.impairment = t
 }
 
+// setTarget replaces the server by another one at the same address. The open connections are closed with a TCP reset, and new ones
+// fail while the target is empty.
+func (p *proxy) setTarget(address string) {
+	p.mu.Lock()
+	p.target = address
+	p.mu.Unlock()
+	p.resetConnections()
+}
+
 // resetConnections closes all open connections with a TCP reset.
 func (p *proxy) resetConnections() {
 	p.mu.Lock()
@@ -89,15 +99,20 @@
 
 func (p *proxy) connect(c net.Conn) {
 	p.mu.Lock()
-	refuse := p.impairment.refuse
+	refuse, target := p.impairment.refuse, p.target
 	p.mu.Unlock()
-	s, err := net.Dial("tcp", p.target)
+	s, err := net.Dial("tcp", target)
 	if err != nil || refuse {
 		_ = c.Close()
 		return
 	}
 	l := &link{client: c, server: s}
 	p.mu.Lock()
+	if p.target != target {
+		p.mu.Unlock()
+		_, _ = c.Close(), s.Close()
+		return
+	}
 	p.conns[l] = true
 	p.mu.Unlock()
 	var g sync.WaitGroup
--- a/cmd/soak/statements.go
+++ b/cmd/soak/statements.go
@@ -47,17 +47,6 @@
 	}
 }
 
-// forgetStatements forgets what a backend server stated before it started again.
-func (c *checker) forgetStatements(server string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for h := range c.statements {
-		if h.server == server {
-			delete(c.statements, h)
-		}
-	}
-}
-
 // checkStatements checks that a request may arrive at a backend server after what that stated. A suspension of the daemon
 // excuses it. c.mu must be held.
 func (c *checker) checkStatements(server, service, id string, at time.Time) {
--- a/cmd/standin/emulator/instance.go
+++ b/cmd/standin/emulator/instance.go
@@ -24,7 +24,9 @@
 
 // Instance emulates one instance of a service. Its methods may be called concurrently.
 type Instance struct {
-	ID       string
+	ID string
+	// Body is the body of its answers. It must not change once the instance is in use.
+	Body     string
 	listener net.Listener
 
 	mu       sync.Mutex
@@ -54,7 +56,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for instance")
 	}
-	i := &Instance{ID: id, listener: l, behavior: Answer}
+	i := &Instance{ID: id, Body: "from " + id, listener: l, behavior: Answer}
 	go i.serve()
 	return i, nil
 }
@@ -212,9 +214,9 @@
 		status, id, id, header, len(body), body)
 }
 
-// Answer responds with 200 and the instance's ID in the body.
+// Answer responds with 200 and the instance's body, which by default names its ID.
 func Answer(c net.Conn, r *http.Request, i *Instance) {
-	write(c, r.Header.Get("Request-Id"), http.StatusOK, i.statements(), "from "+i.ID)
+	write(c, r.Header.Get("Request-Id"), http.StatusOK, i.statements(), i.Body)
 }
 
 // Fail executes the request and responds with a signed 500, an error of the instance itself.
