Send the soak's single vault more payments and fewer pauses

A pause of the only server of a service stops its requests for 2 s, which hid most chances to meet the copy of a refusal. A second server of the service made it rarer still: a request sent again then mostly goes to the other address.

--- a/cmd/soak/callers.go
+++ b/cmd/soak/callers.go
@@ -64,7 +64,7 @@
 		}
 		account, path := "large", "/safe/x"
 		switch x := c.random.Float64(); {
-		case x < 0.3:
+		case x < 0.2:
 			path = "/once/x"
 		case x < 0.45:
 			path = "/pay/x"
--- a/cmd/soak/starts.go
+++ b/cmd/soak/starts.go
@@ -74,7 +74,7 @@
 	defer s.mu.Unlock()
 	s.refusalCopyShare = 1 - r.Float64()/2
 	if r.IntN(2) == 0 {
-		s.shedShare, s.pauseShare = r.Float64()/2, r.Float64()/10
+		s.shedShare, s.pauseShare = r.Float64()/2, r.Float64()/50
 	}
 }
 
