Let the soak's servers close and reset connections as they may

Servers now close connections that were idle for 0.3 to 5 s and state it in Keep-Alive, say Connection: close in a random share of their answers and then close, and a new fault resets connections beyond a few.

--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -228,6 +228,20 @@
 			s.strayShare = 0
 		}, s.ID
 	}},
+	{"server keeps few connections", false, func(f *fleet, r *rand.Rand) (func(), string) {
+		s, n := f.randomServer(r), 1+r.IntN(len(f.daemons))
+		share := r.Float64()
+		s.proxy.setMaxConns(n)
+		s.mu.Lock()
+		s.closeShare = share
+		s.mu.Unlock()
+		return func() {
+			s.proxy.setMaxConns(0)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.closeShare = usualCloseShare
+		}, fmt.Sprintf("%s %d, closes %.2f", s.ID, n, share)
+	}},
 	{"limits changed", false, func(f *fleet, r *rand.Rand) (func(), string) {
 		f.mu.Lock()
 		f.maxHeader, f.idleTimeout = raisedHeader, 10+r.IntN(10)
--- a/cmd/soak/fleet.go
+++ b/cmd/soak/fleet.go
@@ -41,6 +41,11 @@
 	routeAttempts = 2
 	// paymentAttempts is the same for a payment.
 	paymentAttempts = 3
+	// usualCloseShare is the share of responses after which a server closes the connection.
+	usualCloseShare = 0.02
+	// minIdleTimeout and maxIdleTimeout bound the random time after which a server closes idle connections.
+	minIdleTimeout = 300 * time.Millisecond
+	maxIdleTimeout = 5 * time.Second
 	// maxWorkTime bounds the random time that a request takes at a backend server that is not slow.
 	maxWorkTime = 60 * time.Millisecond
 )
@@ -148,7 +153,9 @@
 	copyShare float64
 	// refusalCopyShare is the share of refusals that are sent once more on their connection, before a later answer.
 	refusalCopyShare float64
-	extraDelay       time.Duration
+	// closeShare is the share of responses after which the connection is closed, as they announce.
+	closeShare float64
+	extraDelay time.Duration
 	// pauseShare is the share of requests that are refused with a pause, endlessShare of those that get bytes without end, and
 	// headCutShare of those whose answer ends in its head.
 	pauseShare, endlessShare, headCutShare float64
@@ -267,18 +274,23 @@
 	f.starts++
 	name := fmt.Sprintf("%s start %d", in.ID, f.starts)
 	f.mu.Unlock()
-	s := &server{Instance: in, name: name, proxy: p, domain: domain, service: service, state: "ready", startMs: time.Now().UnixMilli()}
+	s := &server{Instance: in, name: name, proxy: p, domain: domain, service: service, state: "ready", startMs: time.Now().UnixMilli(), closeShare: usualCloseShare}
 	in.Body = answerPrefix + name
 	r := rand.New(rand.NewPCG(seed, 1))
 	in.SetBehavior(func(c net.Conn, req *http.Request, in *emulator.Instance) { f.serve(s, r, c, req, in) })
-	in.SetCopies(func() bool {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		return r.Float64() < s.refusalCopyShare
-	})
+	in.SetCopies(func() bool { return s.chance(r, &s.refusalCopyShare) })
+	in.SetCloses(func() bool { return s.chance(r, &s.closeShare) })
+	in.SetIdleTimeout(minIdleTimeout + time.Duration(r.Int64N(int64(maxIdleTimeout-minIdleTimeout))))
 	return s
 }
 
+// chance returns true with the probability that one of the server's shares states.
+func (s *server) chance(r *rand.Rand, share *float64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return r.Float64() < *share
+}
+
 // answerPrefix precedes the name of a server in the bodies of its answers.
 const answerPrefix = "from "
 
--- a/cmd/soak/proxy.go
+++ b/cmd/soak/proxy.go
@@ -27,7 +27,9 @@
 	// target is the address of the server; empty while none runs.
 	target     string
 	impairment impairment
-	conns      map[*link]bool
+	// maxConns is how many connections may be open; further ones are reset. Zero is no bound.
+	maxConns int
+	conns    map[*link]bool
 }
 
 // link is one connection through a proxy.
@@ -64,20 +66,31 @@
 	p.resetConnections()
 }
 
+// setMaxConns sets how many connections may be open; zero is no bound. The open ones stay.
+func (p *proxy) setMaxConns(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.maxConns = n
+}
+
 // resetConnections closes all open connections with a TCP reset.
 func (p *proxy) resetConnections() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for l := range p.conns {
-		for _, c := range []net.Conn{l.client, l.server} {
-			if t, ok := c.(*net.TCPConn); ok {
-				_ = t.SetLinger(0)
-			}
-			_ = c.Close()
-		}
+		reset(l.client)
+		reset(l.server)
 	}
 }
 
+// reset closes a connection with a TCP reset.
+func reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // silenceConnections discards all further bytes of the open connections. New connections work.
 func (p *proxy) silenceConnections() {
 	p.mu.Lock()
@@ -100,7 +113,12 @@
 func (p *proxy) connect(c net.Conn) {
 	p.mu.Lock()
 	refuse, target := p.impairment.refuse, p.target
+	full := p.maxConns > 0 && len(p.conns) >= p.maxConns
 	p.mu.Unlock()
+	if full {
+		reset(c)
+		return
+	}
 	s, err := net.Dial("tcp", target)
 	if err != nil || refuse {
 		_ = c.Close()
--- a/cmd/standin/emulator/instance.go
+++ b/cmd/standin/emulator/instance.go
@@ -39,6 +39,10 @@
 	leaving bool
 	// copies decides for each refusal whether a copy of it is sent; nil sends none.
 	copies func() bool
+	// closes decides for each response whether the connection is closed after it; nil closes none.
+	closes func() bool
+	// idleTimeout is how long a connection may be idle; zero if for ever.
+	idleTimeout time.Duration
 }
 
 // instanceConn is a connection to an instance.
@@ -98,6 +102,37 @@
 	i.copies = copies
 }
 
+// SetCloses sets a function that decides for each response whether it announces that its connection is closed, which then happens.
+func (i *Instance) SetCloses(closes func() bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.closes = closes
+}
+
+// SetIdleTimeout sets how long connections may be idle before the instance closes them; zero is for ever. Responses state it in
+// whole seconds, if there are any.
+func (i *Instance) SetIdleTimeout(d time.Duration) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.idleTimeout = d
+}
+
+// awaitRequest bounds the wait for the next request on a connection.
+func (i *Instance) awaitRequest(c net.Conn, r *bufio.Reader) error {
+	i.mu.Lock()
+	d := i.idleTimeout
+	i.mu.Unlock()
+	if d > 0 {
+		_ = c.SetReadDeadline(time.Now().Add(d)) // The read below fails if this does.
+		defer func() { _ = c.SetReadDeadline(time.Time{}) }()
+	}
+	_, err := r.Peek(1)
+	return err
+}
+
+// closeLine is the header line that announces the end of a connection.
+const closeLine = "Connection: close\r\n"
+
 // statements returns the header lines of what the instance states of itself.
 func (i *Instance) statements() string {
 	i.mu.Lock()
@@ -107,7 +142,13 @@
 		lines = fmt.Sprintf("Server-Limit: %g\r\n", i.limit)
 	}
 	if i.leaving {
-		lines += "Server-Leaving: 1\r\nConnection: close\r\n"
+		lines += "Server-Leaving: 1\r\n"
+	}
+	if i.leaving || i.closes != nil && i.closes() {
+		lines += closeLine
+	}
+	if s := i.idleTimeout / time.Second; s > 0 {
+		lines += fmt.Sprintf("Keep-Alive: timeout=%d\r\n", s)
 	}
 	return lines
 }
@@ -135,6 +176,9 @@
 	defer func() { _ = c.Close() }()
 	r := bufio.NewReader(c)
 	for {
+		if i.awaitRequest(c, r) != nil {
+			return
+		}
 		req, err := http.ReadRequest(r)
 		if err != nil {
 			return
@@ -157,9 +201,6 @@
 		})
 		i.mu.Unlock()
 		b(c, req, i)
-		if i.isLeaving() {
-			return
-		}
 	}
 }
 
@@ -181,13 +222,15 @@
 	if ic, ok := c.(*instanceConn); ok && copies != nil && copies() {
 		ic.refusals[id], ic.lastRefused = []byte(refusal), id
 	}
-	_, _ = io.WriteString(c, refusal)
+	writeLast(c, refusal)
 }
 
-func (i *Instance) isLeaving() bool {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return i.leaving
+// writeLast writes a response, and closes the connection if the response announces that.
+func writeLast(c net.Conn, response string) {
+	_, _ = io.WriteString(c, response)
+	if head, _, _ := strings.Cut(response, "\r\n\r\n"); strings.Contains(head, closeLine) {
+		_ = c.Close()
+	}
 }
 
 // Rejected returns how many requests the instance rejected.
@@ -210,8 +253,8 @@
 
 // write is Write with further header lines.
 func write(c net.Conn, id string, status int, header, body string) {
-	_, _ = fmt.Fprintf(c, "HTTP/1.1 %d X\r\nRequest-Id: %s\r\nServer-Signature: sig-%s\r\n%sContent-Length: %d\r\n\r\n%s",
-		status, id, id, header, len(body), body)
+	writeLast(c, fmt.Sprintf("HTTP/1.1 %d X\r\nRequest-Id: %s\r\nServer-Signature: sig-%s\r\n%sContent-Length: %d\r\n\r\n%s",
+		status, id, id, header, len(body), body))
 }
 
 // Answer responds with 200 and the instance's body, which by default names its ID.
