Let the soak send HEAD, check bodies, and answer before a body is read

A twentieth of the requests with a body is answered before the body is read; the connection is kept and the body read afterwards. The checker compares each byte that a server reads as a body with what the caller sent, so the next request where the rest of a body is due is found. A fifth of the requests for /safe/ are HEAD, whose answers and late copies have no body.

--- a/cmd/soak/callers.go
+++ b/cmd/soak/callers.go
@@ -209,10 +209,12 @@
 	signature, body string
 	// leaving is set if the answer states that its backend server leaves.
 	leaving bool
+	// head is set in an answer to HEAD, which has no body.
+	head bool
 }
 
 func answerOf(rep *http.Response, body []byte) answer {
-	return answer{rep.StatusCode, rep.Header.Get("Server-Signature"), string(body), rep.Header.Get("Server-Leaving") == "1"}
+	return answer{rep.StatusCode, rep.Header.Get("Server-Signature"), string(body), rep.Header.Get("Server-Leaving") == "1", rep.Request != nil && rep.Request.Method == http.MethodHead}
 }
 
 // slowBody stops once for a while after its first byte.
@@ -235,15 +237,18 @@
 
 // do sends a request and reads the complete response. It sets a forged Tenant header, which daemons must not pass on.
 func (c *caller) do(d *daemon, id, account, path string) (answer, error) {
-	body := "body of " + id
+	body, method := bodyOf(id), http.MethodPost
 	if strings.HasPrefix(path, "/upload/") {
 		body = strings.Repeat(body, 1+c.random.IntN(maxUploadRepeats))
 	}
+	if strings.HasPrefix(path, "/safe/") && c.random.IntN(5) == 0 {
+		body, method = "", http.MethodHead
+	}
 	var src io.Reader = strings.NewReader(body)
-	if c.random.IntN(20) == 0 {
+	if body != "" && c.random.IntN(20) == 0 {
 		src = &slowBody{r: src, pause: time.Duration(c.random.Int64N(int64(maxBodyPause)))}
 	}
-	req, err := http.NewRequest(http.MethodPost, "http://"+d.callerAddress()+path, src)
+	req, err := http.NewRequest(method, "http://"+d.callerAddress()+path, src)
 	if err != nil {
 		return answer{}, err
 	}
--- a/cmd/soak/checker.go
+++ b/cmd/soak/checker.go
@@ -33,6 +33,7 @@
 	guaranteeRepeats              guarantee = "requests are not repeated beyond the budget"
 	guaranteeAllowed              guarantee = "a request that every configuration allows is not denied"
 	guaranteeAttempts             guarantee = "a request runs at no more backend servers than its route allows"
+	guaranteeBody                 guarantee = "a backend server gets the bytes that the caller sent as the body"
 	guaranteeDeadline             guarantee = "a backend server is given no more time than the caller waits"
 )
 
@@ -170,6 +171,25 @@
 	}
 }
 
+// bodyOf returns the text that the body of a request repeats.
+func bodyOf(id string) string { return "body of " + id }
+
+// recordBody records the body that a backend server got with a request, or the part of it that came.
+func (c *checker) recordBody(id, server string, body []byte, whole bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	text := bodyOf(id)
+	for i := range body {
+		if body[i] != text[i%len(text)] {
+			c.addViolation(guaranteeBody, "%s got %q as the body of %s from byte %d on", server, body[i:min(len(body), i+40)], id, i)
+			return
+		}
+	}
+	if whole && len(body)%len(text) != 0 {
+		c.addViolation(guaranteeBody, "%s got a body of %d bytes as the whole of %s", server, len(body), id)
+	}
+}
+
 // recordDeadline records how long a backend server may work on a request that it gets now.
 func (c *checker) recordDeadline(id string, left time.Duration, at time.Time) {
 	c.mu.Lock()
@@ -226,7 +246,7 @@
 	defer c.mu.Unlock()
 	r := c.requests[id]
 	status, signature, server := a.status, a.signature, a.body
-	if a.leaving {
+	if a.leaving && !a.head {
 		c.recordLeavingStatement(hop{process, strings.TrimPrefix(server, answerPrefix)}, time.Now())
 	}
 	switch status {
@@ -239,7 +259,7 @@
 		if signature != "sig-"+id {
 			c.addViolation(guaranteeOwnAnswer, "%s got an answer with signature %q, made by %s and sent by %s", id, signature, server, process)
 		}
-		if !strings.HasPrefix(server, answerPrefix) {
+		if a.head && server != "" || !a.head && !strings.HasPrefix(server, answerPrefix) {
 			c.addViolation(guaranteeOwnAnswer, "%s got an answer of %d bytes that is not whole, sent by %s", id, len(server), process)
 		}
 	case 400, 401, 403, 404, 413, 431:
--- a/cmd/soak/checker_test.go
+++ b/cmd/soak/checker_test.go
@@ -135,6 +135,18 @@
 				c.recordRun("safe", "a", "", "i", "ledger", start)
 			}
 		}},
+		{guaranteeBody, func(c *checker) { c.recordBody("safe", "i", []byte("body of safeGET"), false) }, func(c *checker) {
+			c.recordBody("safe", "i", []byte("body of sa"), false)
+			c.recordBody("safe", "i", nil, true)
+		}},
+		{guaranteeBody, func(c *checker) { c.recordBody("safe", "i", []byte("body of sa"), true) }, func(c *checker) {
+			c.recordBody("safe", "i", []byte("body of safebody of safe"), true)
+		}},
+		{guaranteeOwnAnswer, func(c *checker) {
+			c.recordAnswer("safe", answer{status: 200, signature: "sig-safe", body: "from i", head: true}, "p")
+		}, func(c *checker) {
+			c.recordAnswer("safe", answer{status: 200, signature: "sig-safe", head: true}, "p")
+		}},
 		{guaranteeDeadline, func(c *checker) {
 			c.recordDeadline("safe", requestTimeout, at(deadlineMargin+time.Millisecond))
 		}, func(c *checker) {
--- a/cmd/soak/fleet.go
+++ b/cmd/soak/fleet.go
@@ -43,6 +43,8 @@
 	paymentAttempts = 3
 	// usualCloseShare is the share of responses after which a server closes the connection.
 	usualCloseShare = 0.02
+	// usualEarlyShare is the share of requests that a server answers before it reads their body.
+	usualEarlyShare = 0.05
 	// minIdleTimeout and maxIdleTimeout bound the random time after which a server closes idle connections.
 	minIdleTimeout = 300 * time.Millisecond
 	maxIdleTimeout = 5 * time.Second
@@ -155,6 +157,8 @@
 	refusalCopyShare float64
 	// closeShare is the share of responses after which the connection is closed, as they announce.
 	closeShare float64
+	// earlyShare is the share of requests that are answered before their body is read.
+	earlyShare float64
 	extraDelay time.Duration
 	// pauseShare is the share of requests that are refused with a pause, endlessShare of those that get bytes without end, and
 	// headCutShare of those whose answer ends in its head.
@@ -274,12 +278,16 @@
 	f.starts++
 	name := fmt.Sprintf("%s start %d", in.ID, f.starts)
 	f.mu.Unlock()
-	s := &server{Instance: in, name: name, proxy: p, domain: domain, service: service, state: "ready", startMs: time.Now().UnixMilli(), closeShare: usualCloseShare}
+	s := &server{Instance: in, name: name, proxy: p, domain: domain, service: service, state: "ready", startMs: time.Now().UnixMilli(), closeShare: usualCloseShare, earlyShare: usualEarlyShare}
 	in.Body = answerPrefix + name
 	r := rand.New(rand.NewPCG(seed, 1))
 	in.SetBehavior(func(c net.Conn, req *http.Request, in *emulator.Instance) { f.serve(s, r, c, req, in) })
 	in.SetCopies(func() bool { return s.chance(r, &s.refusalCopyShare) })
 	in.SetCloses(func() bool { return s.chance(r, &s.closeShare) })
+	in.SetEarly(func() bool { return s.chance(r, &s.earlyShare) })
+	in.SetBodyObserver(func(req *http.Request, body []byte, whole bool) {
+		f.checker.recordBody(req.Header.Get("Request-Id"), s.name, body, whole)
+	})
 	in.SetIdleTimeout(minIdleTimeout + time.Duration(r.Int64N(int64(maxIdleTimeout-minIdleTimeout))))
 	return s
 }
@@ -336,7 +344,7 @@
 		emulator.Fail(c, req, in)
 	case x < shed+fail+hang:
 		emulator.Hang(c, req, in)
-	case x < shed+fail+hang+cutting:
+	case x < shed+fail+hang+cutting && req.Method != http.MethodHead: // The answer to HEAD is whole without a body.
 		emulator.Truncate(c, req, in)
 	case copied:
 		emulator.Late(emulator.Answer, late)(c, req, in)
--- a/cmd/standin/emulator/instance.go
+++ b/cmd/standin/emulator/instance.go
@@ -41,6 +41,10 @@
 	copies func() bool
 	// closes decides for each response whether the connection is closed after it; nil closes none.
 	closes func() bool
+	// early decides for each request with a body whether it is handled before its body is read; nil handles none so.
+	early func() bool
+	// observeBody is called with the body of each request, or the part of it that came; nil for none.
+	observeBody func(r *http.Request, body []byte, whole bool)
 	// idleTimeout is how long a connection may be idle; zero if for ever.
 	idleTimeout time.Duration
 }
@@ -109,6 +113,39 @@
 	i.closes = closes
 }
 
+// SetEarly sets a function that decides for each request with a body whether the instance responds before it reads the body.
+func (i *Instance) SetEarly(early func() bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.early = early
+}
+
+// SetBodyObserver sets a function that is called with the body of each request, or the part of it that came.
+func (i *Instance) SetBodyObserver(observe func(r *http.Request, body []byte, whole bool)) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.observeBody = observe
+}
+
+// respondsEarly reports whether the instance responds to a request before it reads the body.
+func (i *Instance) respondsEarly(r *http.Request) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return r.ContentLength != 0 && i.early != nil && i.early()
+}
+
+// readBody reads the body of a request, and reports whether it came whole.
+func (i *Instance) readBody(r *http.Request) (body []byte, whole bool) {
+	body, err := io.ReadAll(r.Body)
+	i.mu.Lock()
+	observe := i.observeBody
+	i.mu.Unlock()
+	if observe != nil {
+		observe(r, body, err == nil)
+	}
+	return body, err == nil
+}
+
 // SetIdleTimeout sets how long connections may be idle before the instance closes them; zero is for ever. Responses state it in
 // whole seconds, if there are any.
 func (i *Instance) SetIdleTimeout(d time.Duration) {
@@ -183,27 +220,42 @@
 		if err != nil {
 			return
 		}
-		body, err := io.ReadAll(req.Body)
-		if err != nil {
+		var body []byte
+		early, whole := i.respondsEarly(req), true
+		if !early {
+			body, whole = i.readBody(req)
+		}
+		if !whole {
 			return
 		}
-		id := req.Header.Get("Request-Id")
-		c.writeCopy(id)
-		if e := req.Header.Get("Expected-Instance"); e != "" && e != i.ID {
-			writeRefusal(c, i, id, fmt.Sprintf("HTTP/1.1 421 Misdirected Request\r\nRequest-Id: %s\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", id, i.ID))
-			continue
+		i.serveRequest(c, req, string(body))
+		if early {
+			_, whole = i.readBody(req)
+		}
+		if !whole {
+			return
 		}
-		i.mu.Lock()
-		b := i.behavior
-		i.runs = append(i.runs, Request{
-			ID: id, Method: req.Method, Target: req.RequestURI, Account: req.Header.Get("Tenant"),
-			Key: req.Header.Get("X-Api-Key"), Deadline: req.Header.Get("Deadline-Ms"), Body: string(body),
-		})
-		i.mu.Unlock()
-		b(c, req, i)
 	}
 }
 
+// serveRequest responds to a request.
+func (i *Instance) serveRequest(c *instanceConn, req *http.Request, body string) {
+	id := req.Header.Get("Request-Id")
+	c.writeCopy(id)
+	if e := req.Header.Get("Expected-Instance"); e != "" && e != i.ID {
+		writeRefusal(c, i, id, fmt.Sprintf("HTTP/1.1 421 Misdirected Request\r\nRequest-Id: %s\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", id, i.ID))
+		return
+	}
+	i.mu.Lock()
+	b := i.behavior
+	i.runs = append(i.runs, Request{
+		ID: id, Method: req.Method, Target: req.RequestURI, Account: req.Header.Get("Tenant"),
+		Key: req.Header.Get("X-Api-Key"), Deadline: req.Header.Get("Deadline-Ms"), Body: body,
+	})
+	i.mu.Unlock()
+	b(c, req, i)
+}
+
 // writeCopy writes the copy of a refusal before the response to a request: that of the same request, or else the last one.
 func (c *instanceConn) writeCopy(id string) {
 	copied, ok := c.refusals[id]
@@ -249,22 +301,32 @@
 }
 
 // Write sends a response with a server signature for the request with this ID.
-func Write(c net.Conn, id string, status int, body string) { write(c, id, status, "", body) }
+func Write(c net.Conn, id string, status int, body string) {
+	writeLast(c, responseHead(id, status, "", body)+body)
+}
 
-// write is Write with further header lines.
-func write(c net.Conn, id string, status int, header, body string) {
-	writeLast(c, fmt.Sprintf("HTTP/1.1 %d X\r\nRequest-Id: %s\r\nServer-Signature: sig-%s\r\n%sContent-Length: %d\r\n\r\n%s",
-		status, id, id, header, len(body), body))
+// responseHead returns the head of a response with further header lines.
+func responseHead(id string, status int, header, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %d X\r\nRequest-Id: %s\r\nServer-Signature: sig-%s\r\n%sContent-Length: %d\r\n\r\n", status, id, id, header, len(body))
+}
+
+// respond responds to a request; the response to HEAD has no body.
+func respond(c net.Conn, r *http.Request, i *Instance, status int, body string) {
+	response := responseHead(r.Header.Get("Request-Id"), status, i.statements(), body)
+	if r.Method != http.MethodHead {
+		response += body
+	}
+	writeLast(c, response)
 }
 
 // Answer responds with 200 and the instance's body, which by default names its ID.
 func Answer(c net.Conn, r *http.Request, i *Instance) {
-	write(c, r.Header.Get("Request-Id"), http.StatusOK, i.statements(), i.Body)
+	respond(c, r, i, http.StatusOK, i.Body)
 }
 
 // Fail executes the request and responds with a signed 500, an error of the instance itself.
 func Fail(c net.Conn, r *http.Request, i *Instance) {
-	write(c, r.Header.Get("Request-Id"), http.StatusInternalServerError, i.statements(), "failed")
+	respond(c, r, i, http.StatusInternalServerError, "failed")
 }
 
 // Shed rejects the request with 503 and does not execute it.
