Tell which connection a response came on

No log told the copy of a refusal from a refusal of the current request. A response of the forwarder now says the local end of its connection, how many requests that had carried, and whether this one was among them, and names the requests of the responses that came before it, also if it is returned with an error.

Reused was read nowhere and is gone.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"hash/maphash"
 	"io"
 	"math"
 	"net"
@@ -31,6 +32,8 @@
 	// maxResponsesRead bounds the responses that are read for one request. Interim responses and responses to earlier
 	// requests are skipped.
 	maxResponsesRead = 3
+	// maxLoggedID bounds the length of a request ID in a log, in bytes.
+	maxLoggedID = 64
 	// tcpUserTimeout is how long sent bytes may stay unacknowledged before the connection fails (TCP_USER_TIMEOUT).
 	tcpUserTimeout = 5 * time.Second
 )
@@ -89,11 +92,11 @@
 	// Pause is how long the instance wants no requests from this VM; zero if it stated none. It also holds for a response that
 	// is returned with an error.
 	Pause time.Duration
-	// Reused is set if the connection had carried other requests before.
-	Reused bool
-	// Skipped is the number of final responses that came before it and belong to another request or to none. It also holds
-	// for a response that is returned with an error.
-	Skipped int
+	// Connection is the connection that it came on. It also holds for a response that is returned with an error.
+	Connection Connection
+	// Skipped are the request IDs of the final responses that came before it and belong to another request or to none, cut to
+	// maxLoggedID bytes. It also holds for a response that is returned with an error.
+	Skipped []string
 	// hold is the memory reserved for Body; nil if there is none.
 	hold *hold
 }
@@ -114,13 +117,15 @@
 	pool    *pool
 	dialer  net.Dialer
 	memory  memory
+	// seed is that of the keys of request IDs.
+	seed maphash.Seed
 }
 
 // New returns a Forwarder. MaxIdle bounds the idle connections that it keeps open, and maxBodyMemory the memory for buffered
 // response bodies that are not small, in bytes; beyond it, bodies are streamed.
 func New(h HeaderNames, maxIdle int, maxBodyMemory int64, clock clockwork.Clock) *Forwarder {
 	return &Forwarder{
-		headers: h, clock: clock, pool: newPool(maxIdle, clock), memory: memory{max: maxBodyMemory},
+		headers: h, clock: clock, pool: newPool(maxIdle, clock), memory: memory{max: maxBodyMemory}, seed: maphash.MakeSeed(),
 		dialer: net.Dialer{Timeout: ConnectTimeout, Control: setUserTimeout},
 	}
 }
@@ -140,7 +145,11 @@
 		return Response{}, errors.Mark(err, ErrNotSent)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	key := f.requestKey(r.ID)
+	connection := c.describe(key)
+	c.carried = append(c.carried, key)
 	resp, err := f.roundTrip(c, r)
+	resp.Connection = connection
 	if err != nil {
 		resp.hold.release()
 		stop()
@@ -148,9 +157,8 @@
 		if ctx.Err() != nil {
 			err = errors.Mark(err, ctx.Err())
 		}
-		return Response{Leaving: resp.Leaving, Pause: resp.Pause, Skipped: resp.Skipped}, err
+		return Response{Leaving: resp.Leaving, Pause: resp.Pause, Skipped: resp.Skipped, Connection: connection}, err
 	}
-	resp.Reused = c.requests > 1
 	if resp.BodyRest != nil {
 		resp.BodyRest = &bodyRest{Reader: resp.BodyRest, close: func() { stop(); _ = c.Close() }}
 		return resp, nil
@@ -166,7 +174,6 @@
 func (f *Forwarder) connect(ctx context.Context, addr netip.AddrPort, maxIdle time.Duration) (*conn, error) {
 	if maxIdle > 0 {
 		if c := f.pool.get(addr, maxIdle); c != nil {
-			c.requests++
 			return c, nil
 		}
 	}
@@ -176,7 +183,7 @@
 	}
 	f.pool.opened.Add(1)
 	in := &boundedReader{r: nc}
-	return &conn{Conn: nc, to: addr, in: in, r: bufio.NewReaderSize(in, readBufferSize), requests: 1}, nil
+	return &conn{Conn: nc, to: addr, in: in, r: bufio.NewReaderSize(in, readBufferSize)}, nil
 }
 
 // readBufferSize is the size of the read buffer of a connection, in bytes.
@@ -255,7 +262,7 @@
 // readResponse reads the response to a request and skips interim responses and those that belong to another request or to
 // none. That the instance leaves holds also if one of these states it.
 func (f *Forwarder) readResponse(c *conn, r Request) (resp Response, err error) {
-	leaving, pause, skipped := false, time.Duration(0), 0
+	leaving, pause, skipped := false, time.Duration(0), []string(nil)
 	defer func() { resp.Leaving, resp.Pause, resp.Skipped = leaving, pause, skipped }()
 	for range maxResponsesRead {
 		c.in.limit(maxHeadBytes)
@@ -269,8 +276,8 @@
 			continue
 		}
 		if id := httpResp.Header.Get(f.headers.RequestID); id != r.ID {
-			skipped++
-			if id == "" && c.requests == 1 {
+			skipped = append(skipped, id[:min(len(id), maxLoggedID)])
+			if id == "" && len(c.carried) == 1 {
 				// No earlier request of the connection can have caused it, but nothing binds what it states to this one.
 				return Response{}, errors.New("the answer names no request")
 			}
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -27,7 +27,7 @@
 	to       netip.AddrPort
 	in       *boundedReader
 	r        *bufio.Reader
-	requests int
+	carried  carried
 	reusable bool
 	// keepAlive is how long the instance keeps the connection when idle; zero if unknown.
 	keepAlive time.Duration
@@ -101,11 +101,11 @@
 	return max(0, c.keepAlive-keepAliveMargin)
 }
 
-// put keeps an idle connection, or closes it if the pool is full.
+// put keeps an idle connection, or closes it if the pool is full or the connection has carried maxCarried requests.
 func (p *pool) put(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.idleCount >= p.maxIdle {
+	if p.idleCount >= p.maxIdle || len(c.carried) >= maxCarried {
 		_ = c.Close()
 		return
 	}
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -197,8 +197,8 @@
 // the response. Only an instance that signed its response stated that it has no limit.
 func (r *retrier) observeStatements(a *attempt) {
 	resp := a.response
-	if resp.Skipped > 0 {
-		r.Logger.Info("responses of no request", zap.String("id", r.id), zap.String("instance", a.choice.ID), zap.Int("skipped", resp.Skipped))
+	if len(resp.Skipped) > 0 {
+		r.Logger.Info("responses of no request", zap.String("id", r.id), zap.String("instance", a.choice.ID), zap.Strings("skipped", resp.Skipped))
 	}
 	if resp.Pause > 0 {
 		r.Picker.Pause(a.choice, resp.Pause)
