Never send a request twice on a connection

What callers saw: a POST that may run once only was answered with 503 and ran, or might be run once more at another instance.

Cause: the id of a response names a request, not a sending of it. Instances that were tried are left out by their id, but connections are kept by address. An instance that starts again at its address under another id is listed under both ids for a while, so a request that it refused with 421 under the old id could be sent to it once more on the same connection. A copy of the refusal, written before the answer, was then taken for the answer. The class is a promise that is bound to a request, and not to the sending that it answers.

Now a connection never carries two requests with the same id, whoever chooses and whatever the reason: Send takes another idle connection, or opens one. No response on it can then belong to an earlier sending, so what a response states (not run, moved, a pause, a limit) is of this one.

--- a/internal/forwarder/connection_test.go
+++ b/internal/forwarder/connection_test.go
@@ -1,9 +1,13 @@
 package forwarder_test
 
 import (
+	"fmt"
+	"net"
 	"net/http"
+	"sync"
 	"testing"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/jacinthproxy/jacinthproxy/cmd/standin/emulator"
@@ -26,3 +30,46 @@
 	require.False(t, second.Connection.Repeated)
 	require.Equal(t, []string{"1"}, second.Skipped)
 }
+
+// A request that is sent again must not cost a new connection while another one is idle.
+func TestRequestSentAgainUsesAnotherIdleConnection(t *testing.T) {
+	i, f := newInstance(t, nil), newForwarder()
+	var both sync.WaitGroup
+	both.Add(2)
+	i.SetBehavior(func(c net.Conn, r *http.Request, i *emulator.Instance) {
+		both.Done()
+		both.Wait()
+		emulator.Answer(c, r, i)
+	})
+	var sent sync.WaitGroup
+	for _, id := range []string{"1", "2"} {
+		sent.Go(func() {
+			_, err := sendTo(t, f, i.Address(), id)
+			assert.NoError(t, err)
+		})
+	}
+	sent.Wait()
+	i.SetBehavior(emulator.Answer)
+	for _, id := range []string{"1", "2"} {
+		resp, err := sendTo(t, f, i.Address(), id)
+		require.NoError(t, err)
+		require.False(t, resp.Connection.Repeated)
+	}
+	opened, idle := f.Stats()
+	require.EqualValues(t, 2, opened)
+	require.Equal(t, 2, idle)
+}
+
+// What a connection remembers of its requests must not grow without end.
+func TestConnectionEndsWhenItHasCarriedManyRequests(t *testing.T) {
+	i, f := newInstance(t, emulator.Answer), newForwarder()
+	most := 0
+	for n := range 2000 {
+		resp, err := sendTo(t, f, i.Address(), fmt.Sprint(n))
+		require.NoError(t, err)
+		most = max(most, resp.Connection.Carried)
+	}
+	require.Less(t, most, 512)
+	opened, _ := f.Stats()
+	require.EqualValues(t, 4, opened)
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -137,15 +137,15 @@
 func (f *Forwarder) Stats() (opened int64, idle int) { return f.pool.stats() }
 
 // Send sends a request and returns the response, which must be closed. MaxIdle is how long a kept connection may have
-// been idle to be reused; zero opens a new one. When the context ends, Send closes the connection, which cancels the request at
+// been idle to be reused; zero opens a new one. No connection carries two requests with the same ID. When the context ends, Send closes the connection, which cancels the request at
 // the instance; the returned error is then also marked with the context's error.
 func (f *Forwarder) Send(ctx context.Context, addr netip.AddrPort, r Request, maxIdle time.Duration) (Response, error) {
-	c, err := f.connect(ctx, addr, maxIdle)
+	key := f.requestKey(r.ID)
+	c, err := f.connect(ctx, addr, key, maxIdle)
 	if err != nil {
 		return Response{}, errors.Mark(err, ErrNotSent)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	key := f.requestKey(r.ID)
 	connection := c.describe(key)
 	c.carried = append(c.carried, key)
 	resp, err := f.roundTrip(c, r)
@@ -171,9 +171,11 @@
 	return resp, nil
 }
 
-func (f *Forwarder) connect(ctx context.Context, addr netip.AddrPort, maxIdle time.Duration) (*conn, error) {
+// connect returns a connection that has not carried the request with the given key: an extra response names the request that it
+// responded to, but not which sending of it.
+func (f *Forwarder) connect(ctx context.Context, addr netip.AddrPort, key uint64, maxIdle time.Duration) (*conn, error) {
 	if maxIdle > 0 {
-		if c := f.pool.get(addr, maxIdle); c != nil {
+		if c := f.pool.get(addr, key, maxIdle); c != nil {
 			return c, nil
 		}
 	}
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -70,27 +71,28 @@
 	return &pool{clock: clock, maxIdle: maxIdle, idle: map[netip.AddrPort][]*conn{}}
 }
 
-// get returns the most recently used idle connection to an address, or nil if there is none or it has been idle for
-// longer than maxIdle or its lifetime. Connections that the instance closed or that have unread bytes are skipped.
-func (p *pool) get(addr netip.AddrPort, maxIdle time.Duration) *conn {
+// get returns the most recently used idle connection to an address that has not carried the request with the given key, or nil
+// if there is none that was used within maxIdle and its lifetime. Connections that the instance closed or that have unread
+// bytes are skipped.
+func (p *pool) get(addr netip.AddrPort, key uint64, maxIdle time.Duration) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for {
-		cs := p.idle[addr]
-		if len(cs) == 0 {
-			return nil
-		}
-		c := cs[len(cs)-1]
+	for i := len(p.idle[addr]) - 1; i >= 0; i-- {
+		c := p.idle[addr][i]
 		if p.clock.Since(c.idleSince) > min(maxIdle, c.maxIdle()) {
 			return nil
 		}
-		p.idle[addr] = cs[:len(cs)-1]
+		if c.carried.has(key) {
+			continue
+		}
+		p.idle[addr] = slices.Delete(p.idle[addr], i, i+1)
 		p.idleCount--
 		if c.usable() {
 			return c
 		}
 		_ = c.Close()
 	}
+	return nil
 }
 
 // maxIdle returns how long the connection may be kept idle.
