Let a test of refusals see the mark that it checks for

TestRefusalOfAnotherRequestDoesNotSayThatTheCurrentOneHasNotRun asserted that an error is not errNotStarted with the standard library's errors.Is, which does not see marks: it could not fail.

--- a/internal/dispatcher/backend_test.go
+++ b/internal/dispatcher/backend_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/jacinthproxy/jacinthproxy/cmd/standin/emulator"
@@ -60,7 +61,7 @@
 			require.NoError(t, err)
 			_, err = b.send(t.Context(), Request{ID: "2", Method: http.MethodGet, Target: "/"})
 			require.ErrorIs(t, err, errRequestIDMismatch)
-			require.NotErrorIs(t, err, errNotStarted)
+			require.False(t, errors.Is(err, errNotStarted), err)
 		})
 	}
 }
