In serve, send a refused request again on a connection of its own

On the same connection a late copy of the refusal was then taken for the answer, so a request that runs counted as not started and might be started again.

TestCopyOfARefusalDoesNotSayThatTheRequestSentAgainHasNotRun failed for all three states before and passes.

--- a/internal/dispatcher/backend.go
+++ b/internal/dispatcher/backend.go
@@ -33,6 +33,11 @@
 type backend struct {
 	address   netip.AddrPort
 	transport *http.Transport
+	// unpooled opens a connection for each request.
+	unpooled *http.Transport
+	// refused are requests that the backend server refused. One that is sent again gets a connection of its own: a late copy of
+	// its refusal would name it, too.
+	refused *refusedIDs
 	// echoesIDs is set once a response named its request: one that names none then belongs to no request.
 	echoesIDs atomic.Bool
 }
@@ -41,7 +46,7 @@
 	d := &net.Dialer{Timeout: connectTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 	}}
-	return &backend{address: a, transport: &http.Transport{
+	t := &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			c, err := d.DialContext(ctx, network, address)
 			if err != nil {
@@ -53,7 +58,10 @@
 		MaxIdleConnsPerHost:    maxIdlePerBackend,
 		IdleConnTimeout:        idleConnTimeout,
 		MaxResponseHeaderBytes: maxHeadBytes,
-	}}
+	}
+	unpooled := t.Clone()
+	unpooled.DisableKeepAlives = true
+	return &backend{address: a, transport: t, unpooled: unpooled, refused: newRefusedIDs()}
 }
 
 func (b *backend) close() { b.transport.CloseIdleConnections() }
@@ -141,7 +149,11 @@
 	if err != nil {
 		return Answer{}, err
 	}
-	resp, err := b.transport.RoundTrip(req)
+	transport := b.transport
+	if b.refused.has(r.ID) {
+		transport = b.unpooled
+	}
+	resp, err := transport.RoundTrip(req)
 	if err != nil {
 		return Answer{}, b.classify(ctx, &t, err)
 	}
@@ -183,6 +195,7 @@
 		return Answer{}, errors.Wrapf(errRequestIDMismatch, "id %q came for %q", id, r.ID)
 	}
 	if err := refusal(resp); err != nil {
+		b.refused.add(r.ID)
 		return Answer{}, err
 	}
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Close {
--- a/internal/dispatcher/backend_test.go
+++ b/internal/dispatcher/backend_test.go
@@ -65,3 +65,30 @@
 		})
 	}
 }
+
+// The copy of a refusal names the request, and says nothing of the same request when that is sent again.
+func TestCopyOfARefusalDoesNotSayThatTheRequestSentAgainHasNotRun(t *testing.T) {
+	for _, state := range []string{stateShedding, stateDraining, stateStarting} {
+		t.Run(state, func(t *testing.T) {
+			refusedOn := map[string]bool{}
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				id := r.Header.Get(HeaderRequestID)
+				w.Header().Set(HeaderRequestID, id)
+				if refusedOn[r.RemoteAddr] || len(refusedOn) == 0 && id == "1" {
+					refusedOn[r.RemoteAddr] = id == "1"
+					w.Header().Set(HeaderState, state)
+					w.WriteHeader(http.StatusServiceUnavailable)
+				}
+			}))
+			t.Cleanup(s.Close)
+			b := newBackend(netip.MustParseAddrPort(s.Listener.Addr().String()))
+			t.Cleanup(b.close)
+			post := Request{ID: "1", Method: http.MethodPost, Target: "/"}
+			_, err := b.send(t.Context(), post)
+			require.True(t, errors.Is(err, errNotStarted), err)
+			a, err := b.send(t.Context(), post)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, a.Status)
+		})
+	}
+}
