In serve, tell the response to a health check from a late one

A health check shares the connections of requests. Health checks now bear an id of their own; a response that names another request is an error. A server that names none is trusted, as before.

TestLateResponseIsNotTakenForThatOfAHealthCheck failed before (draining, with no error) and passes.

--- a/internal/dispatcher/backend.go
+++ b/internal/dispatcher/backend.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -230,8 +231,8 @@
 	return nil
 }
 
-// probe sends a health check to the backend server. An error wraps errUnhealthy if the backend server responded with a
-// server error; any other error means that it gave no complete response.
+// probe sends a health check to the backend server, with a request ID that tells its response from a late one. An error wraps
+// errUnhealthy if the backend server responded with a server error; any other error means that it gave no complete response.
 func (b *backend) probe(ctx context.Context, path string) (draining bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
@@ -239,11 +240,16 @@
 	if err != nil {
 		return false, err
 	}
+	id := "probe-" + strconv.FormatUint(rand.Uint64(), 16)
+	req.Header.Set(HeaderRequestID, id)
 	resp, err := b.transport.RoundTrip(req)
 	if err != nil {
 		return false, err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if got := resp.Header.Get(HeaderRequestID); got != "" && got != id {
+		return false, errors.Wrapf(errRequestIDMismatch, "id %q came for %q", got, id)
+	}
 	_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, MaxBufferedBody))
 	if resp.Header.Get(HeaderState) == stateDraining {
 		return true, nil
--- a/internal/dispatcher/backend_test.go
+++ b/internal/dispatcher/backend_test.go
@@ -92,3 +92,25 @@
 		})
 	}
 }
+
+// A late response to another request no longer says how the backend server is.
+func TestLateResponseIsNotTakenForThatOfAHealthCheck(t *testing.T) {
+	for name, late := range map[string]bool{"late": true, "own": false} {
+		t.Run(name, func(t *testing.T) {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set(HeaderRequestID, r.Header.Get(HeaderRequestID))
+				if late {
+					w.Header().Set(HeaderRequestID, "1")
+				}
+				w.Header().Set(HeaderState, stateDraining)
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}))
+			t.Cleanup(s.Close)
+			b := newBackend(netip.MustParseAddrPort(s.Listener.Addr().String()))
+			t.Cleanup(b.close)
+			draining, err := b.probe(t.Context(), "/health")
+			require.Equal(t, late, errors.Is(err, errRequestIDMismatch), err)
+			require.Equal(t, !late, draining)
+		})
+	}
+}
