Log each attempt that fails, with its connection

A line of a request named only the last instance and what it did, so no log told the copy of a refusal from a refusal of the request itself, or either from a refusal of the VM's own. Each attempt that an instance did not answer now has a line "attempt failed" with the instance, its incarnation and address, the local end of the connection, the requests that it had carried, whether this one was among them, and the responses that were skipped. "responses of no request" remains for answers and has the same fields. The line of a request names the outcomes of all its attempts.

The lines are bounded to 50 a second with bursts of 200; the next line and the summary say how many were left out.

--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -14,6 +14,8 @@
 
 // attempt is one try to send a request to an instance.
 type attempt struct {
+	// number counts the attempts of the request, from 1.
+	number    int
 	choice    balancer.Choice
 	startedAt time.Time
 	// viewAge is the age of the view of the instances that the choice was made with.
@@ -40,7 +42,7 @@
 // run sends the request and returns its result.
 func (x *exchange) run(ctx context.Context) result {
 	r := &retrier{exchange: x, finished: make(chan *attempt, x.route.Attempts+maxUnsent+1), inFlight: map[*attempt]bool{}}
-	defer r.cancelAll()
+	defer func() { r.cancelAll(ctx.Err() != nil) }()
 	hedge := time.NewTimer(time.Duration(hedgeFraction * float64(x.route.Objective)))
 	defer hedge.Stop()
 	if res, ok := r.start(ctx, false); !ok {
@@ -79,9 +81,9 @@
 	if !ok {
 		return res, false
 	}
-	r.tried = append(r.tried, c.ID)
+	r.tried, r.outcomes = append(r.tried, c.ID), append(r.outcomes, outcomePending)
 	r.sent++
-	a := &attempt{choice: c, startedAt: r.Clock.Now()}
+	a := &attempt{number: len(r.tried), choice: c, startedAt: r.Clock.Now()}
 	_, a.viewAge = r.Tracker.Usable(c.ID)
 	if resend {
 		r.Logger.Info("sent again", zap.String("id", r.id), zap.String("instance", c.ID), zap.Float64("evidence", c.Evidence),
@@ -120,6 +122,8 @@
 	r.responses = append(r.responses, a.response)
 	took := r.Clock.Since(a.startedAt)
 	o := r.classify(ctx, a)
+	r.outcomes[a.number-1] = o.String()
+	r.logAttempt(a, o, took)
 	r.observeStatements(a)
 	r.Picker.Done(r.route, a.choice, o, took)
 	if usable, _ := r.Tracker.Usable(a.choice.ID); !usable {
@@ -197,9 +201,6 @@
 // the response. Only an instance that signed its response stated that it has no limit.
 func (r *retrier) observeStatements(a *attempt) {
 	resp := a.response
-	if len(resp.Skipped) > 0 {
-		r.Logger.Info("responses of no request", zap.String("id", r.id), zap.String("instance", a.choice.ID), zap.Strings("skipped", resp.Skipped))
-	}
 	if resp.Pause > 0 {
 		r.Picker.Pause(a.choice, resp.Pause)
 		r.Logger.Info("instance asked for a pause", zap.String("id", r.id), zap.String("instance", a.choice.ID), zap.Duration("pause", resp.Pause))
@@ -252,8 +253,9 @@
 	return unavailable(ReasonNoInstance, r.detail)
 }
 
-// cancelAll cancels the attempts in flight; a goroutine waits for them and reports their outcomes to the picker.
-func (r *retrier) cancelAll() {
+// cancelAll cancels the attempts in flight; a goroutine waits for them and reports their outcomes to the picker. Unless
+// the request was interrupted, another attempt was answered, and those that are canceled have not failed.
+func (r *retrier) cancelAll(interrupted bool) {
 	for a := range r.inFlight {
 		a.cancel()
 	}
@@ -268,9 +270,13 @@
 			if a.err == nil {
 				o = r.classify(context.Background(), a)
 			}
+			took := r.Clock.Since(a.startedAt)
+			if interrupted || o != balancer.OutcomeCanceled || len(a.response.Skipped) > 0 {
+				r.logAttempt(a, o, took)
+			}
 			r.observeStatements(a)
 			_ = a.response.Close()
-			r.Picker.Done(r.route, a.choice, o, r.Clock.Since(a.startedAt))
+			r.Picker.Done(r.route, a.choice, o, took)
 		}
 	}()
 }
--- a/internal/receiver/exchange.go
+++ b/internal/receiver/exchange.go
@@ -48,6 +48,8 @@
 	configurationAge     time.Duration
 	admission            relayer.Admission
 	tried                []string
+	// outcomes are those of the attempts at the instances in tried, outcomePending for those in flight.
+	outcomes []string
 	// responses are those that were received, to be closed when the request is over.
 	responses []forwarder.Response
 }
@@ -345,7 +347,7 @@
 	}
 	x.Logger.Info("request", zap.String("id", x.id), zap.Stringer("reason", res.reason), zap.Int("status", res.status),
 		zap.Bool("notRun", res.reason.notRun()), zap.String("route", route), zap.String("account", account),
-		zap.String("service", x.service), zap.Strings("tried", x.tried), zap.Duration("took", took),
+		zap.String("service", x.service), zap.Strings("tried", x.tried), zap.Strings("outcomes", x.outcomes), zap.Duration("took", took),
 		zap.Int64("version", x.configurationVersion), zap.Duration("readAge", x.configurationAge), zap.String("rateOwner", x.admission.Owner),
 		zap.String("detail", res.detail))
 }
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -13,6 +13,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/jacinthproxy/jacinthproxy/internal/forwarder"
+	"github.com/jacinthproxy/jacinthproxy/internal/logger"
 	"github.com/jacinthproxy/jacinthproxy/internal/relayer"
 	"github.com/jacinthproxy/jacinthproxy/internal/router"
 	"github.com/jacinthproxy/jacinthproxy/pkg/balancer"
@@ -28,6 +29,9 @@
 	// they leave room for those of failures.
 	answersPerSecond = 25
 	answersBurst     = 100
+	// attemptsPerSecond and attemptsBurst bound the log lines of attempts, so that they leave room for those of requests.
+	attemptsPerSecond = 50
+	attemptsBurst     = 200
 	// unreadBodyTimeout bounds the time that a connection stays open after a response before the body's end.
 	unreadBodyTimeout = time.Second
 	// hedgeFraction is the fraction of a route's latency objective after which an idempotent request is hedged.
@@ -184,15 +188,23 @@
 	stop        *stop
 	// answerLog bounds the log lines of requests that were answered by the first instance.
 	answerLog *rate.Limiter
+	// attemptLog bounds the log lines of attempts.
+	attemptLog *logger.Limiter
 	// bodyBytes is the memory reserved for request bodies.
 	bodyBytes atomic.Int64
 }
 
 // New returns a Receiver.
 func New(o Options) *Receiver {
-	return &Receiver{Options: o, failedWaits: failedWaits{at: map[string]time.Time{}}, splits: splits{at: map[string]float64{}}, stop: newStop(), answerLog: rate.NewLimiter(answersPerSecond, answersBurst)}
+	return &Receiver{
+		Options: o, failedWaits: failedWaits{at: map[string]time.Time{}}, splits: splits{at: map[string]float64{}}, stop: newStop(),
+		answerLog: rate.NewLimiter(answersPerSecond, answersBurst), attemptLog: logger.NewLimiter(attemptsPerSecond, attemptsBurst),
+	}
 }
 
+// OmittedLines returns the number of log lines of attempts that were left out since the start.
+func (r *Receiver) OmittedLines() int64 { return r.attemptLog.Omitted() }
+
 // jitteredRetryAfter returns max(atLeast, minRetryAfter) plus up to retryAfterJitter at random.
 func jitteredRetryAfter(atLeast time.Duration) time.Duration {
 	return max(atLeast, minRetryAfter) + rand.N(retryAfterJitter)
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -144,7 +144,7 @@
 func (f *fixture) Pick(_ string, want balancer.Request) (balancer.Choice, bool) {
 	f.picks++
 	id := []string{"i-1", "i-2", "i-3", "i-4", "i-5", "i-6"}[len(want.Tried)]
-	return balancer.Choice{Instance: balancer.Instance{ID: id, Incarnation: 7}}, true
+	return balancer.Choice{Instance: balancer.Instance{ID: id, Incarnation: 7, Address: netip.MustParseAddrPort("10.0.0.1:80")}}, true
 }
 
 func (f *fixture) TakeRetry(string) bool {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -267,5 +267,6 @@
 	table, entries := r.tracker.Ages()
 	opened, idle := r.forwarder.Stats()
 	r.Logger.Info("summary", zap.String("requests", r.metrics.formatRequestCounts()), zap.Duration("configurationAge", table),
-		zap.Duration("instancesAge", entries), zap.Int64("connectionsOpened", opened), zap.Int("connectionsKept", idle))
+		zap.Duration("instancesAge", entries), zap.Int64("connectionsOpened", opened), zap.Int("connectionsKept", idle),
+		zap.Int64("attemptLinesOmitted", r.receiver.OmittedLines()))
 }
