Log the peers and instances of a start once, not one by one

Seen in the users' logs: each VM's log begins with a line "vm role=starting before=starting" for each peer, 114 in a VM and some 13,000 in the fleet, which use up the burst of lines that a VM may write. A VM that is heard of for the first time has changed no role, and "before" was the zero value.

What a VM finds at its start now has one line, "vms known" or "instances known"; a VM that is added later has "vm added". The other lines that grew with the fleet are bounded: VMs that become ready, new instances (event=instance) after the first view, and the first statements of instances (event="instance stated"). Each names how many were left out, as does the summary. Changes of a role or an incarnation, instances that leave or end, and later statements are logged as before. Not bounded: "owning limit", which is shared among the VMs.

--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -268,5 +268,5 @@
 	opened, idle := r.forwarder.Stats()
 	r.Logger.Info("summary", zap.String("requests", r.metrics.formatRequestCounts()), zap.Duration("configurationAge", table),
 		zap.Duration("instancesAge", entries), zap.Int64("connectionsOpened", opened), zap.Int("connectionsKept", idle),
-		zap.Int64("attemptLinesOmitted", r.receiver.OmittedLines()))
+		zap.Int64("attemptLinesOmitted", r.receiver.OmittedLines()), zap.Int64("startLinesOmitted", r.tracker.OmittedLines()))
 }
--- a/internal/tracker/instances.go
+++ b/internal/tracker/instances.go
@@ -149,9 +149,19 @@
 	if unchanged {
 		return false
 	}
+	omitted := zap.Skip()
+	if !known {
+		if t.entriesReadAt.IsZero() {
+			return true // confirm logs their number.
+		}
+		var ok bool
+		if omitted, ok = t.startLog.instances.Allow(t.clock.Now()); !ok {
+			return true
+		}
+	}
 	t.logger.Info("instance", append(from.fields(e.ID), zap.String("service", e.Service), zap.Stringer("condition", e.Condition),
 		zap.Stringer("address", e.Address), zap.String("failureDomain", e.Domain), zap.Int64("sequenceNumber", e.SequenceNumber),
-		zap.String("offset", formatOffset(e.Offset)))...)
+		zap.String("offset", formatOffset(e.Offset)), omitted)...)
 	return true
 }
 
@@ -395,6 +405,20 @@
 	}
 }
 
+// logInstancesKnown logs how many instances the first view has. t.mu must be held.
+func (t *Tracker) logInstancesKnown() {
+	count, usable := 0, 0
+	for _, r := range t.records {
+		if r.condition() != ConditionGone {
+			count++
+		}
+		if r.usable() && !t.leaves(r) {
+			usable++
+		}
+	}
+	t.logger.Info("instances known", zap.Int("count", count), zap.Int("usable", usable), zap.String("offset", formatOffset(t.end)))
+}
+
 // confirm records that a read of the registry which began at the given time confirmed the records. It sends pending
 // notifications first: a request may take the view for recent only when its instances are in use. t.mu must not be held.
 func (t *Tracker) confirm(readAt time.Time) {
@@ -406,6 +430,7 @@
 	}
 	if t.entriesReadAt.IsZero() {
 		t.recordChange()
+		t.logInstancesKnown()
 	}
 	t.entriesReadAt = readAt
 	if !t.unreadAt.After(readAt) {
--- a/internal/tracker/statements.go
+++ b/internal/tracker/statements.go
@@ -101,7 +101,8 @@
 // be held.
 func (t *Tracker) applyStatement(source string, s Statement) bool {
 	known := t.statements[s.Instance]
-	if known == nil {
+	first := known == nil
+	if first {
 		known = &statementRecord{Statement: Statement{Instance: s.Instance, Incarnation: s.Incarnation}}
 		t.statements[s.Instance] = known
 	}
@@ -124,8 +125,15 @@
 	}
 	t.markStatement(known)
 	t.countChange(true)
+	omitted := zap.Skip()
+	if first && !known.Leaving {
+		var ok bool
+		if omitted, ok = t.startLog.statements.Allow(t.clock.Now()); !ok {
+			return true
+		}
+	}
 	t.logger.Info("instance stated", zap.String("id", s.Instance), zap.String("source", source), zap.Float64("rate", known.Rate),
-		zap.Float64("rateBefore", before.Rate), zap.Bool("leaving", known.Leaving), zap.Int64("incarnation", known.Incarnation))
+		zap.Float64("rateBefore", before.Rate), zap.Bool("leaving", known.Leaving), zap.Int64("incarnation", known.Incarnation), omitted)
 	return true
 }
 
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -21,8 +21,9 @@
 
 // Tracker holds the state that one process knows. It is safe for concurrent use.
 type Tracker struct {
-	clock  clockwork.Clock
-	logger *zap.Logger
+	clock    clockwork.Clock
+	logger   *zap.Logger
+	startLog startLog
 
 	mu       sync.Mutex
 	table    *router.Table
@@ -74,7 +75,7 @@
 // New returns a tracker that knows nothing.
 func New(clock clockwork.Clock, logger *zap.Logger) *Tracker {
 	return &Tracker{
-		clock: clock, logger: logger, records: map[string]*record{}, statements: map[string]*statementRecord{}, members: map[netip.AddrPort]*member{},
+		clock: clock, logger: logger, startLog: newStartLog(), records: map[string]*record{}, statements: map[string]*statementRecord{}, members: map[netip.AddrPort]*member{},
 		changed: make(chan struct{}), viewed: make(chan struct{}), onInstancesChange: func() {},
 	}
 }
@@ -208,12 +209,13 @@
 	if o != nil && !m.supersedes(o.Member) {
 		return false
 	}
-	changed := o == nil || o.Role != m.Role || o.Incarnation != m.Incarnation
-	if o == nil {
+	added := o == nil
+	if added {
 		o = &member{}
 		t.members[m.Address] = o
 	}
-	previous := o.Role
+	previous := o.Member
+	changed := added || previous.Role != m.Role || previous.Incarnation != m.Incarnation
 	if m.Capacity == 0 {
 		m.Capacity = o.Capacity
 	}
@@ -223,12 +225,30 @@
 	o.Member = m
 	if changed {
 		t.markMember(o)
-		t.logger.Info("vm", zap.Stringer("peer", m.Address), zap.Stringer("role", m.Role), zap.Stringer("before", previous),
-			zap.String("failureDomain", m.Domain), zap.Uint64("incarnation", m.Incarnation))
+		t.logMember(m, previous, added)
 	}
 	return changed
 }
 
+// logMember logs that a VM was added, or that its role or incarnation changed. t.mu must be held.
+func (t *Tracker) logMember(m, previous Member, added bool) {
+	if added && !t.membersKnown {
+		return // MarkMembersKnown logs their number.
+	}
+	event, before, omitted := "vm added", zap.Skip(), zap.Skip()
+	if !added {
+		event, before = "vm", zap.Stringer("before", previous.Role)
+	}
+	if added || m.Incarnation == previous.Incarnation && previous.Role == RoleStarting && m.Role == RoleReady {
+		var ok bool
+		if omitted, ok = t.startLog.members.Allow(t.clock.Now()); !ok {
+			return
+		}
+	}
+	t.logger.Info(event, zap.Stringer("peer", m.Address), zap.Stringer("role", m.Role), before,
+		zap.String("failureDomain", m.Domain), zap.Uint64("incarnation", m.Incarnation), omitted)
+}
+
 // MarkMembersKnown records that the store's list of VMs was read.
 func (t *Tracker) MarkMembersKnown() {
 	t.mu.Lock()
@@ -236,6 +256,7 @@
 	if !t.membersKnown {
 		t.membersKnown = true
 		t.recordChange()
+		t.logger.Info("vms known", zap.Int("count", len(t.members)))
 	}
 }
 
