Show the way from an untrue refusal to its cause

As lines of attempts are bounded, two metrics count all: refused attempts by whether the connection was new, kept or had carried the request, and skipped responses.

--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -123,6 +123,7 @@
 	took := r.Clock.Since(a.startedAt)
 	o := r.classify(ctx, a)
 	r.outcomes[a.number-1] = o.String()
+	r.attemptCounts.add(a, o)
 	r.logAttempt(a, o, took)
 	r.observeStatements(a)
 	r.Picker.Done(r.route, a.choice, o, took)
@@ -271,6 +272,7 @@
 				o = r.classify(context.Background(), a)
 			}
 			took := r.Clock.Since(a.startedAt)
+			r.attemptCounts.add(a, o)
 			if interrupted || o != balancer.OutcomeCanceled || len(a.response.Skipped) > 0 {
 				r.logAttempt(a, o, took)
 			}
--- a/internal/receiver/attemptlog_test.go
+++ b/internal/receiver/attemptlog_test.go
@@ -102,3 +102,21 @@
 	require.EqualValues(t, 2*requests-written, lines[0].ContextMap()["omitted"])
 	require.NotContains(t, lines[1].ContextMap(), "omitted")
 }
+
+func TestRefusedAttemptsAreCountedByConnection(t *testing.T) {
+	f := newFixture()
+	for _, c := range []forwarder.Connection{{}, {Carried: 2}, {Carried: 2, Repeated: true}, {Carried: 1, Repeated: true}} {
+		resp, err := shed()
+		resp.Connection, resp.Skipped = c, []string{"r-0", "r-00"}
+		sent := len(f.sends)
+		f.respond = func(n int) (forwarder.Response, error) {
+			if n == sent+1 {
+				return resp, err
+			}
+			return okResponse(), nil
+		}
+		require.Equal(t, http.StatusOK, f.serve("/once/", "secret").Code)
+	}
+	require.Equal(t, map[string]float64{"new": 1, "kept": 1, "repeated": 2}, f.receiver.RefusedAttempts())
+	require.Equal(t, 8, f.receiver.SkippedResponses())
+}
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -189,7 +189,8 @@
 	// answerLog bounds the log lines of requests that were answered by the first instance.
 	answerLog *rate.Limiter
 	// attemptLog bounds the log lines of attempts.
-	attemptLog *logger.Limiter
+	attemptLog    *logger.Limiter
+	attemptCounts *attemptCounts
 	// bodyBytes is the memory reserved for request bodies.
 	bodyBytes atomic.Int64
 }
@@ -199,6 +200,7 @@
 	return &Receiver{
 		Options: o, failedWaits: failedWaits{at: map[string]time.Time{}}, splits: splits{at: map[string]float64{}}, stop: newStop(),
 		answerLog: rate.NewLimiter(answersPerSecond, answersBurst), attemptLog: logger.NewLimiter(attemptsPerSecond, attemptsBurst),
+		attemptCounts: newAttemptCounts(),
 	}
 }
 
--- a/internal/runner/operators.go
+++ b/internal/runner/operators.go
@@ -89,6 +89,12 @@
 			_, n := r.forwarder.Stats()
 			return float64(n)
 		}),
+		"refused_attempts": {"Attempts that instances refused since the start, by the connection that the refusal came on.", "connection", func() map[string]float64 {
+			return r.receiver.RefusedAttempts()
+		}},
+		"skipped_responses": single("Responses of instances since the start that belonged to no request in flight on their connection.", func() float64 {
+			return float64(r.receiver.SkippedResponses())
+		}),
 		"store_reads":     {"Reads of the store since the start, by what was read and the result.", "read", r.relayer.StoreReads},
 		"limit_decisions": {"Requests since the start to instances with a limit, by the decision of the limit's owner.", "decision", r.relayer.LimitDecisions},
 		"rate_decisions":  {"Requests since the start whose rate was decided, by where and how.", "decision", r.relayer.RateDecisions},
