Apply a refusal as moved, and a limit, only to the incarnation that was asked

When an instance had registered again meanwhile, a late 421 of its earlier start or address took the current one out of use at all VMs until it registered again, and a limit that the earlier start had stated throttled the current one. Pauses and that an instance leaves were already bound to the incarnation.

Both now name the incarnation that was chosen, a 421 also its address, and count only for that. TestRefusalOfAnEarlierIncarnationDoesNotTakeTheCurrent- OneOut and the two new lines of TestRestartedInstanceHasNoLimitOfItsPredecessor fail with the old rules put back.

--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -144,7 +144,7 @@
 		r.unsent++
 		r.detail = "instance " + a.choice.ID + " cannot be reached: " + a.err.Error()
 	case balancer.OutcomeMoved:
-		r.Tracker.MarkMoved(a.choice.ID)
+		r.Tracker.MarkMoved(a.choice.Instance)
 		r.detail = "instance " + a.choice.ID + " is no longer at its address"
 	case balancer.OutcomeShed:
 		r.detail = "instance " + a.choice.ID + " refused the request"
@@ -212,7 +212,7 @@
 	if a.err != nil || resp.Status == http.StatusMisdirectedRequest || resp.Limit.Invalid || resp.Limit.Rate == 0 && !resp.Signed {
 		return
 	}
-	r.Limiter.ObserveLimit(a.choice.ID, resp.Limit.Rate, a.startedAt)
+	r.Limiter.ObserveLimit(a.choice.ID, a.choice.Incarnation, resp.Limit.Rate, a.startedAt)
 }
 
 // impliesNotRun reports whether callers conclude from a status that the request has not run.
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -101,8 +101,8 @@
 	AwaitView(ctx context.Context, maxAge, timeout time.Duration) bool
 	// Usable reports whether an instance may get new requests, and the age of the view that says so.
 	Usable(instance string) (usable bool, viewAge time.Duration)
-	// MarkMoved marks an instance as no longer present at its address.
-	MarkMoved(id string)
+	// MarkMoved marks an incarnation of an instance as no longer present at its address.
+	MarkMoved(i balancer.Instance)
 	// MarkLeaving records that an incarnation of an instance stated in a response that it leaves. It is not picked any more.
 	MarkLeaving(id string, incarnation int64)
 }
@@ -117,9 +117,9 @@
 type Limiter interface {
 	// AdmitSend decides whether a request may be sent to an instance now.
 	AdmitSend(ctx context.Context, instance string) relayer.Admission
-	// ObserveLimit records what the response to a request that was sent at the given time stated about an instance's
+	// ObserveLimit records what the response to a request that was sent at the given time stated about an incarnation's
 	// limit, in requests per second; zero if there is none.
-	ObserveLimit(instance string, rate float64, sentAt time.Time)
+	ObserveLimit(instance string, incarnation int64, rate float64, sentAt time.Time)
 }
 
 // Picker chooses instances.
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -127,10 +127,10 @@
 func (f *fixture) NextAvailable(string, balancer.Request) (time.Duration, bool) {
 	return f.nextAvailable, f.nextAvailable > 0
 }
-func (f *fixture) ObserveLimit(id string, rate float64, _ time.Time) {
+func (f *fixture) ObserveLimit(id string, _ int64, rate float64, _ time.Time) {
 	f.limits = append(f.limits, fmt.Sprint(id, " ", rate))
 }
-func (f *fixture) MarkMoved(id string) { f.moved = append(f.moved, id) }
+func (f *fixture) MarkMoved(i balancer.Instance) { f.moved = append(f.moved, i.ID) }
 func (f *fixture) MarkLeaving(id string, incarnation int64) {
 	f.leavings = append(f.leavings, fmt.Sprint(id, " ", incarnation))
 }
--- a/internal/relayer/limits.go
+++ b/internal/relayer/limits.go
@@ -32,10 +32,10 @@
 	return &limits{relayer: r, buckets: map[string]*limitBucket{}}
 }
 
-// ObserveLimit records what a response to a request that was sent at the given time stated about an instance's limit, in
+// ObserveLimit records what a response to a request that was sent at the given time stated about an incarnation's limit, in
 // requests per second; zero if it stated none. The leader of this VM's domain is told of a change at once.
-func (r *Relayer) ObserveLimit(instance string, rate float64, sentAt time.Time) {
-	if r.Tracker.ObserveLimit(instance, rate, sentAt) {
+func (r *Relayer) ObserveLimit(instance string, incarnation int64, rate float64, sentAt time.Time) {
+	if r.Tracker.ObserveLimit(instance, incarnation, rate, sentAt) {
 		r.wakeReport()
 	}
 }
--- a/internal/relayer/limits_test.go
+++ b/internal/relayer/limits_test.go
@@ -55,7 +55,7 @@
 	if _, ok := f.toldAt[i]; !ok {
 		f.toldAt[i] = now
 	}
-	f.relayers[i].ObserveLimit("i", f.limit, now)
+	f.relayers[i].ObserveLimit("i", 1, f.limit, now)
 }
 
 // most returns the most requests that arrived in a span.
@@ -157,7 +157,7 @@
 func TestLimitReachesAllVMsBeforeTheyAreTold(t *testing.T) {
 	f := newLimitedFleet(12, 5)
 	follower := slices.IndexFunc(f.relayers, func(r *relayer.Relayer) bool { return !r.IsLeader() })
-	f.relayers[follower].ObserveLimit("i", 5, f.clock.Now())
+	f.relayers[follower].ObserveLimit("i", 1, 5, f.clock.Now())
 	f.advance(50 * time.Millisecond)
 	f.advance(50 * time.Millisecond)
 	for i, tr := range f.trackers {
@@ -166,7 +166,7 @@
 		require.InDelta(t, 5, l.Rate, 0)
 	}
 	f.clock.Advance(time.Second)
-	f.relayers[follower].ObserveLimit("i", 0, f.clock.Now().Add(-100*time.Millisecond))
+	f.relayers[follower].ObserveLimit("i", 1, 0, f.clock.Now().Add(-100*time.Millisecond))
 	f.advance(50 * time.Millisecond)
 	f.advance(50 * time.Millisecond)
 	for i, tr := range f.trackers {
@@ -179,7 +179,7 @@
 func TestNoRequestIsSentToLimitedInstanceWithoutItsOwner(t *testing.T) {
 	f := newLimitedFleet(12, 5)
 	for i := range f.relayers {
-		f.relayers[i].ObserveLimit("i", 5, f.clock.Now())
+		f.relayers[i].ObserveLimit("i", 1, 5, f.clock.Now())
 	}
 	f.cut = func(netip.AddrPort, netip.AddrPort) bool { return true }
 	admitted := 0
--- a/internal/tracker/changelog_test.go
+++ b/internal/tracker/changelog_test.go
@@ -36,7 +36,7 @@
 				vm := placer.VM{Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 1), Incarnation: 1}
 				tr.UpdateMember(Member{VM: vm, Role: Role(step % 3), AsOf: clock.Now()})
 			case 4:
-				tr.ObserveLimit(e.ID, float64(1+step%4), clock.Now())
+				tr.ObserveLimit(e.ID, e.Incarnation, float64(1+step%4), clock.Now())
 			case 5:
 				clock.Advance(goneTTL)
 				tr.Expire()
--- a/internal/tracker/instances.go
+++ b/internal/tracker/instances.go
@@ -245,16 +245,17 @@
 	t.notifyInstancesChange()
 }
 
-// MarkMoved records that an instance is no longer at its address.
-func (t *Tracker) MarkMoved(id string) {
+// MarkMoved records that an incarnation of an instance is not at the address where it was expected. It says nothing of another
+// incarnation, or of another address of the instance.
+func (t *Tracker) MarkMoved(i balancer.Instance) {
 	t.mu.Lock()
-	r := t.records[id]
-	changed := r != nil && r.usable()
+	r := t.records[i.ID]
+	changed := r != nil && r.usable() && r.Incarnation == i.Incarnation && r.Address == i.Address
 	if changed {
-		r.end(endedAt(id, r.Offset))
+		r.end(endedAt(i.ID, r.Offset))
 		r.goneAt, r.expiresAt, t.mayExpire = t.clock.Now(), time.Time{}, true
 		t.markRecord(r)
-		t.logger.Info("instance moved", zap.String("id", id))
+		t.logger.Info("instance moved", zap.String("id", i.ID), zap.Int64("incarnation", i.Incarnation), zap.Stringer("address", i.Address))
 	}
 	t.countChange(changed)
 	t.mu.Unlock()
--- a/internal/tracker/statements.go
+++ b/internal/tracker/statements.go
@@ -45,14 +45,12 @@
 	sequence, observedSequence uint64
 }
 
-// ObserveLimit records what a response of an instance stated about its limit; a rate of zero means that it stated none. The
-// request was sent at the given time, and the response was received just now. It reports whether the limit changed.
-func (t *Tracker) ObserveLimit(instance string, rate float64, sentAt time.Time) bool {
+// ObserveLimit records what a response of an incarnation of an instance stated about its limit; a rate of zero means that it
+// stated none. The request was sent at the given time, and the response was received just now. It reports whether the limit
+// changed.
+func (t *Tracker) ObserveLimit(instance string, incarnation int64, rate float64, sentAt time.Time) bool {
 	t.mu.Lock()
-	s := Statement{Instance: instance, Rate: rate, AsOf: t.clock.Now()}
-	if r := t.records[instance]; r != nil {
-		s.Incarnation = r.Incarnation
-	}
+	s := Statement{Instance: instance, Incarnation: incarnation, Rate: rate, AsOf: t.clock.Now()}
 	known := t.statements[instance]
 	// A response without a limit may be older than one with a limit that was received first.
 	if rate == 0 && (known == nil || !sentAt.After(known.AsOf)) {
--- a/internal/tracker/statements_test.go
+++ b/internal/tracker/statements_test.go
@@ -1,6 +1,7 @@
 package tracker_test
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -23,17 +24,20 @@
 	to.MergeStatements("peer", c.Statements)
 }
 
-// observe records a response that came within 100 ms.
-func observe(tr *tracker.Tracker, c *clockwork.FakeClock, rate float64) {
+// observe records a response of the first incarnation that came within 100 ms.
+func observe(tr *tracker.Tracker, c *clockwork.FakeClock, rate float64) { observeOf(tr, c, 1, rate) }
+
+// observeOf records a response of an incarnation that came within 100 ms.
+func observeOf(tr *tracker.Tracker, c *clockwork.FakeClock, incarnation int64, rate float64) {
 	c.Advance(100 * time.Millisecond)
-	tr.ObserveLimit("i", rate, c.Now().Add(-100*time.Millisecond))
+	tr.ObserveLimit("i", incarnation, rate, c.Now().Add(-100*time.Millisecond))
 }
 
 func TestLimitHoldsUntilALaterRequestIsAnsweredWithout(t *testing.T) {
 	tr, c := newTracker()
 	early := c.Now()
 	observe(tr, c, 5)
-	tr.ObserveLimit("i", 0, early)
+	tr.ObserveLimit("i", 1, 0, early)
 	require.InDelta(t, 5, limitOf(tr), 0, "the request was sent before the limit was stated")
 	c.Advance(time.Hour)
 	require.InDelta(t, 5, limitOf(tr), 0, "silence does not end a limit")
@@ -73,10 +77,35 @@
 	e.Offset = 2
 	tr.ApplyRegistrations(c.Now(), []tracker.Entry{e}, false, 3)
 	require.Zero(t, tr.UsableInstances()[0].Limit)
-	observe(tr, c, 4)
+	observeOf(tr, c, e.Incarnation-1, 3)
+	require.Zero(t, tr.UsableInstances()[0].Limit, "a late response of the incarnation before")
+	observeOf(tr, c, e.Incarnation, 4)
+	require.InDelta(t, 4, tr.UsableInstances()[0].Limit, 0)
+	observeOf(tr, c, e.Incarnation-1, 0)
 	require.InDelta(t, 4, tr.UsableInstances()[0].Limit, 0)
 }
 
+// A late refusal of a request to an earlier incarnation, or to an earlier address, must not take the instance out of use.
+func TestRefusalOfAnEarlierIncarnationDoesNotTakeTheCurrentOneOut(t *testing.T) {
+	tr, c := newTracker()
+	before := entry("i", 1, tracker.ConditionReady)
+	tr.ApplyRegistrations(c.Now(), []tracker.Entry{before}, true, 2)
+	moved := at(before, 2)
+	moved.Address = netip.MustParseAddrPort("10.0.0.9:80")
+	moved.SequenceNumber++
+	tr.ApplyRegistrations(c.Now(), []tracker.Entry{moved}, false, 3)
+	tr.MarkMoved(before.Instance)
+	require.Equal(t, 1, usable(tr))
+	again := at(before, 3)
+	again.Incarnation++
+	tr.ApplyRegistrations(c.Now(), []tracker.Entry{again}, false, 4)
+	tr.MarkMoved(before.Instance)
+	tr.MarkMoved(moved.Instance)
+	require.Equal(t, 1, usable(tr))
+	tr.MarkMoved(again.Instance)
+	require.Zero(t, usable(tr))
+}
+
 // An instance that cannot reach the registry states in its responses alone that it leaves.
 func TestInstanceThatStatedThatItLeavesIsNotUsable(t *testing.T) {
 	tr, c := newTracker()
@@ -114,7 +143,7 @@
 			func(tr *tracker.Tracker) bool { return usable(tr) == 0 },
 		},
 		"a limit": {
-			func(tr *tracker.Tracker, c *clockwork.FakeClock, _ int64) { observe(tr, c, 5) },
+			func(tr *tracker.Tracker, c *clockwork.FakeClock, incarnation int64) { observeOf(tr, c, incarnation, 5) },
 			func(tr *tracker.Tracker) bool { return tr.UsableInstances()[0].Limit == 5 },
 		},
 	} {
