Do not read a part of an earlier response as the head of the next

When the copy of a refusal breaks off within a header line and the answer follows on the same connection, the two read as one head: the status of the refusal and its Not-Executed, with the id and the signature of the answer. A request that ran was then reported as not run; in the same way a failure could pass for a success.

A head that contains a status line is now an error, so the request counts as one that may have run.

--- a/internal/forwarder/copies_test.go
+++ b/internal/forwarder/copies_test.go
@@ -228,3 +228,31 @@
 		}
 	}
 }
+
+// Bytes of an earlier response that end anywhere must not lend their status or headers to the response behind them.
+func TestPartOfAnEarlierResponseDoesNotChangeTheNext(t *testing.T) {
+	own := map[string]string{
+		"answer":  answerTo("2", "own"),
+		"failure": strings.Replace(answerTo("2", "own"), "200 OK", "500 X", 1),
+	}
+	for name, part := range map[string]string{
+		"503":       "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nDate: Sun, 06 Dec 2026 08:00:00 GMT\r\nRequest-Id: 1\r\nContent-Length: 0\r\n\r\n",
+		"421":       "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: i-1\r\nRequest-Id: 1\r\nContent-Length: 0\r\n\r\n",
+		"no status": "HTTP/1.1 429 \r\nX-Id:Request-Id: 2\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+		"answer":    answerTo("1", ""),
+	} {
+		for kind, next := range own {
+			for n := range len(part) + 1 {
+				a, f := newScriptedInstance(t, answerTo("1", "first"), part[:n]+next), newForwarder()
+				_, err := sendTo(t, f, a, "1")
+				require.NoError(t, err)
+				resp, err := sendTo(t, f, a, "2")
+				require.False(t, resp.NotRun, "%s of %s, %d bytes", kind, name, n)
+				if err == nil {
+					require.Equal(t, kind == "answer", resp.Status == http.StatusOK, "%s behind %d bytes of %s: %+v", kind, n, name, resp)
+					require.Equal(t, "own", string(resp.Body))
+				}
+			}
+		}
+	}
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -273,6 +273,9 @@
 		if err != nil {
 			return Response{}, errors.Wrap(err, "answer")
 		}
+		if spliced(httpResp) {
+			return Response{}, errors.New("the answer begins with a part of another one")
+		}
 		leaving = leaving || f.statesLeaving(httpResp)
 		if httpResp.StatusCode < http.StatusOK && httpResp.StatusCode != http.StatusSwitchingProtocols {
 			continue
