--- a/internal/forwarder/connection_test.go
+++ b/internal/forwarder/connection_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"testing"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -15,7 +16,7 @@
 
 // Without these, a log does not tell a copied refusal from one of the current request.
 func TestResponsesNameTheirConnectionAndWhatCameBefore(t *testing.T) {
-	i, f := newInstance(t, emulator.Shed), newForwarder()
+	i, f := newInstance(t, emulator.Shed), newForwarderAt(clockwork.NewFakeClock())
 	i.SetCopies(func() bool { return true })
 	first, err := sendTo(t, f, i.Address(), "1")
 	require.NoError(t, err)
@@ -33,7 +34,7 @@
 
 // A request that is sent again must not cost a new connection while another one is idle.
 func TestRequestSentAgainUsesAnotherIdleConnection(t *testing.T) {
-	i, f := newInstance(t, nil), newForwarder()
+	i, f := newInstance(t, nil), newForwarderAt(clockwork.NewFakeClock())
 	var both sync.WaitGroup
 	both.Add(2)
 	i.SetBehavior(func(c net.Conn, r *http.Request, i *emulator.Instance) {
@@ -62,7 +63,7 @@
 
 // What a connection remembers of its requests must not grow without end.
 func TestConnectionEndsWhenItHasCarriedManyRequests(t *testing.T) {
-	i, f := newInstance(t, emulator.Answer), newForwarder()
+	i, f := newInstance(t, emulator.Answer), newForwarderAt(clockwork.NewFakeClock())
 	most := 0
 	for n := range 2000 {
 		resp, err := sendTo(t, f, i.Address(), fmt.Sprint(n))
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -20,8 +20,10 @@
 	"github.com/jacinthproxy/jacinthproxy/platform"
 )
 
-func newForwarder() *forwarder.Forwarder {
-	return forwarder.New(platform.HeaderNames().HeaderNames, 10, 1<<20, clockwork.NewRealClock())
+func newForwarder() *forwarder.Forwarder { return newForwarderAt(clockwork.NewRealClock()) }
+
+func newForwarderAt(c clockwork.Clock) *forwarder.Forwarder {
+	return forwarder.New(platform.HeaderNames().HeaderNames, 10, 1<<20, c)
 }
 
 func newInstance(t *testing.T, b emulator.Behavior) *emulator.Instance {
