In serve, do not read a part of an earlier refusal as the head of the next

The check is that of the forwarder.

TestPartOfAnEarlierRefusalDoesNotMakeTheNextResponseOne failed before and passes.

--- a/internal/dispatcher/backend.go
+++ b/internal/dispatcher/backend.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/jacinthproxy/jacinthproxy/internal/forwarder"
 )
 
 var (
@@ -24,6 +26,7 @@
 	errDraining          = errors.New("the backend server drains")
 	errStarting          = errors.New("the backend server starts")
 	errRequestIDMismatch = errors.New("the answer belongs to another request")
+	errSpliced           = errors.New("the answer begins with a part of another one")
 	errCloseDelimited    = errors.New("the answer has no length, so it cannot be known to be whole")
 	errServerError       = errors.New("the backend server responded with a server error")
 	errUnhealthy         = errors.New("the health check reports that the backend server is unhealthy")
@@ -189,6 +192,9 @@
 // receive checks a response and reads its body into memory. If the body is longer than MaxBufferedBody, the remainder
 // is left to the reader of Rest.
 func (b *backend) receive(r Request, resp *http.Response) (Answer, error) {
+	if forwarder.Spliced(resp) {
+		return Answer{}, errSpliced
+	}
 	id := resp.Header.Get(HeaderRequestID)
 	if id == r.ID {
 		b.echoesIDs.Store(true)
--- a/internal/dispatcher/backend_test.go
+++ b/internal/dispatcher/backend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -114,3 +115,22 @@
 		})
 	}
 }
+
+// Bytes of an earlier refusal that end within a header must not make the response behind them a refusal.
+func TestPartOfAnEarlierRefusalDoesNotMakeTheNextResponseOne(t *testing.T) {
+	const part = "HTTP/1.1 503 Service Unavailable\r\n" + HeaderState + ": " + stateShedding + "\r\nDate: Sun,"
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		_, _ = io.WriteString(c, part+"HTTP/1.1 200 OK\r\n"+HeaderRequestID+": "+r.Header.Get(HeaderRequestID)+"\r\nContent-Length: 0\r\n\r\n")
+	}))
+	t.Cleanup(s.Close)
+	b := newBackend(netip.MustParseAddrPort(s.Listener.Addr().String()))
+	t.Cleanup(b.close)
+	_, err := b.send(t.Context(), Request{ID: "1", Method: http.MethodPost, Target: "/"})
+	require.Error(t, err)
+	require.False(t, errors.Is(err, errNotStarted), err)
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -273,7 +273,7 @@
 		if err != nil {
 			return Response{}, errors.Wrap(err, "answer")
 		}
-		if spliced(httpResp) {
+		if Spliced(httpResp) {
 			return Response{}, errors.New("the answer begins with a part of another one")
 		}
 		leaving = leaving || f.statesLeaving(httpResp)
--- a/internal/forwarder/splice.go
+++ b/internal/forwarder/splice.go
@@ -6,9 +6,9 @@
 	"strings"
 )
 
-// spliced reports whether the head of a response contains a status line: it then begins with a part of an earlier response,
+// Spliced reports whether the head of a response contains a status line: it then begins with a part of an earlier response,
 // whose status or headers say nothing of the request.
-func spliced(httpResp *http.Response) bool {
+func Spliced(httpResp *http.Response) bool {
 	if containsStatusLine(httpResp.Status) {
 		return true
 	}
