Relay the first report of an instance after a restore of the store

No caller is known to have seen it.

A VM that reads the registry does not relay a report that differs from what it knows only by its number, as its peers hold the same. After a restore they may not: a peer that had read the end of the registration, or a later report, before the restore refuses what the copy shows. If the reader did not know of that end (it had just started, or was behind) the next report is no change to it, and never reaches the peer.

The first report of an instance that a VM reads from the registry's changes in an epoch is now relayed in any case.

--- a/internal/tracker/instances.go
+++ b/internal/tracker/instances.go
@@ -40,7 +40,7 @@
 	t.noteRestore(end)
 	// A later snapshot than what is known is the truth even about instances that are unknown here.
 	latest := snapshot && end >= t.end
-	changed := t.applyAll(from, es, latest, true)
+	changed := t.applyAll(from, es, latest, !snapshot)
 	if snapshot {
 		changed = t.endUnlisted(from, es, end) || changed
 	}
@@ -56,13 +56,13 @@
 // applyAll applies entries and reports whether the usable instances changed. Unless latest is set, it leaves out
 // instances that are unknown here although the records cover the registry beyond their entry: they have left. t.mu must
 // be held.
-func (t *Tracker) applyAll(from change, es []Entry, latest, own bool) bool {
+func (t *Tracker) applyAll(from change, es []Entry, latest, read bool) bool {
 	changed := false
 	for _, e := range es {
 		if t.records[e.ID] == nil && e.Offset < t.end && !latest {
 			continue
 		}
-		changed = t.apply(from, e, own) || changed
+		changed = t.apply(from, e, read) || changed
 	}
 	return changed
 }
@@ -91,11 +91,11 @@
 	return Entry{Instance: balancer.Instance{ID: id}, Condition: ConditionGone, Offset: offset}
 }
 
-// apply applies one entry and reports whether the usable instances changed. Own says that this VM read it from the
-// registry. t.mu must be held.
-func (t *Tracker) apply(from change, e Entry, own bool) bool {
+// apply applies one entry and reports whether the usable instances changed. Read says that this VM read it from the
+// changes of the registry, not from a snapshot or a peer. t.mu must be held.
+func (t *Tracker) apply(from change, e Entry, read bool) bool {
 	if e.Condition != ConditionGone {
-		return t.applyReport(from, e, own)
+		return t.applyReport(from, e, read)
 	}
 	r := t.records[e.ID]
 	if r == nil {
@@ -123,7 +123,7 @@
 
 // applyReport applies an instance's report on itself, and reports whether the usable instances changed. t.mu must be
 // held.
-func (t *Tracker) applyReport(from change, e Entry, own bool) bool {
+func (t *Tracker) applyReport(from change, e Entry, read bool) bool {
 	r := t.records[e.ID]
 	known := r != nil
 	if !known {
@@ -142,10 +142,14 @@
 	r.expiresAt, r.goneAt = time.Time{}, time.Time{}
 	unchanged := known && previous.Condition == e.Condition && previous.Address == e.Address && previous.Service == e.Service &&
 		previous.Domain == e.Domain && previous.Slots == e.Slots && previous.Incarnation == e.Incarnation
-	// The registry has each report, but a relayed one may follow others that peers of this VM know.
-	if !unchanged || !own {
+	// The registry's changes have each report, but a relayed one may follow others that peers of this VM know. So may the first
+	// one in an epoch: the copy from which the store was restored may be older than what peers know, and they refuse it.
+	if !unchanged || !read || EpochOf(e.Offset) != r.relayedEpoch {
 		t.markRecord(r)
 	}
+	if read {
+		r.relayedEpoch = EpochOf(e.Offset)
+	}
 	if unchanged {
 		return false
 	}
--- a/internal/tracker/record.go
+++ b/internal/tracker/record.go
@@ -14,6 +14,9 @@
 	Entry
 	// endedBefore is the offset before which all registrations of the instance have ended; zero if none has.
 	endedBefore uint64
+	// relayedEpoch is the epoch of the last report that this VM read from the changes of the registry; it relays the first one
+	// in each epoch.
+	relayedEpoch uint64
 	// sequence is the tracker's sequence number of the last change.
 	sequence uint64
 	goneAt   time.Time
--- a/internal/tracker/restore_test.go
+++ b/internal/tracker/restore_test.go
@@ -97,6 +97,50 @@
 	}
 }
 
+// The reader learns from the copy what a peer knows to have ended since, and sees no change when the instance reports again.
+func TestReportAfterARestoreReachesPeersThatRefusedTheCopy(t *testing.T) {
+	for _, condition := range []tracker.Condition{tracker.ConditionLeaving, tracker.ConditionGone} {
+		for _, started := range []bool{true, false} {
+			reader, c := newTracker()
+			if !started {
+				reader.ApplyRegistrations(c.Now(), []tracker.Entry{reportAt(1, 70, 8, tracker.ConditionReady)}, true, tracker.Offset(1, 81))
+			}
+			knows := tracker.New(c, zap.NewNop())
+			knows.ApplyRegistrations(c.Now(), []tracker.Entry{reportAt(1, 70, 8, tracker.ConditionReady)}, true, tracker.Offset(1, 81))
+			knows.ApplyRegistrations(c.Now(), []tracker.Entry{reportAt(1, 90, 10, condition)}, false, tracker.Offset(1, 91))
+			reader.ApplyRegistrations(c.Now(), []tracker.Entry{reportAt(2, 70, 8, tracker.ConditionReady)}, true, tracker.Offset(2, 81))
+			ch, _ := reader.ChangesSince(0)
+			knows.MergeInstances(peer, ch)
+			require.Empty(t, knows.UsableInstances(), "%v, started %v: the copy", condition, started)
+			reader.ApplyRegistrations(c.Now(), []tracker.Entry{reportAt(2, 82, 11, tracker.ConditionReady)}, false, tracker.Offset(2, 83))
+			ch, _ = reader.ChangesSince(ch.Sequence)
+			knows.MergeInstances(peer, ch)
+			require.Len(t, knows.UsableInstances(), 1, "%v, started %v", condition, started)
+			reader.ApplyRegistrations(c.Now(), []tracker.Entry{reportAt(2, 83, 12, tracker.ConditionReady)}, false, tracker.Offset(2, 84))
+			ch, _ = reader.ChangesSince(ch.Sequence)
+			require.Empty(t, ch.Entries, "relayed once in an epoch")
+		}
+	}
+}
+
+// A call that the store executes late may be a report from before the instance left.
+func TestLateReportAfterARestoreDoesNotReviveInstanceThatLeft(t *testing.T) {
+	for _, condition := range []tracker.Condition{tracker.ConditionLeaving, tracker.ConditionGone} {
+		knows, c := newTracker()
+		knows.ApplyRegistrations(c.Now(), []tracker.Entry{reportAt(1, 80, 9, tracker.ConditionReady)}, true, tracker.Offset(1, 81))
+		knows.ApplyRegistrations(c.Now(), []tracker.Entry{reportAt(1, 90, 10, condition)}, false, tracker.Offset(1, 91))
+		reader := tracker.New(c, zap.NewNop())
+		reader.ApplyRegistrations(c.Now(), []tracker.Entry{reportAt(2, 70, 8, tracker.ConditionReady)}, true, tracker.Offset(2, 81))
+		ch, _ := reader.ChangesSince(0)
+		knows.MergeInstances(peer, ch)
+		reader.ApplyRegistrations(c.Now(), []tracker.Entry{reportAt(2, 82, 9, tracker.ConditionReady)}, false, tracker.Offset(2, 83))
+		ch, _ = reader.ChangesSince(ch.Sequence)
+		require.Len(t, ch.Entries, 1)
+		knows.MergeInstances(peer, ch)
+		require.Empty(t, knows.UsableInstances(), condition)
+	}
+}
+
 func TestOlderConfigurationDoesNotConfirmTheKnownOne(t *testing.T) {
 	tr, c := newTracker()
 	tr.ApplyConfiguration(router.Configuration{Version: 5})
