Keep a pause for the start of an instance that became known after it

What instances saw (BUDGET): requests of a VM within the time for which they had asked that VM for none.

Cause: an instance started again under its ID and asked for a pause before the VM had heard of the start. The pause was kept for the start that the VM knew when it chose the instance, and dropped when the new one became known. The class is that of REFUSED: a statement bound to what the VM believed, not to the process that made it.

A pause now also holds for a start that lies before it was asked for, with a second for clocks that differ. TestPauseEndsWithTheIncarnation counted starts as 1 and 2, which are no times; TestPauseEndsWithTheIncarnationThatAskedForIt replaces it, demands that the pause ends with a later start and does not with an earlier one, and that a shorter pause does not end it. Three of its five cases fail with the old rule.

--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -146,7 +146,8 @@
 func (p *Picker) Pause(c balancer.Choice, d time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.service(c.Service).balancer.Pause(c, p.Clock.Now().Add(d))
+	now := p.Clock.Now()
+	p.service(c.Service).balancer.Pause(now, c, now.Add(d))
 }
 
 // NextAvailable returns the time until an instance of a service that is not available now may be picked for a request; ok
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -77,7 +77,8 @@
 // Instance is one instance of a service.
 type Instance struct {
 	ID string `json:"id"`
-	// Incarnation is the start time of the instance as it reports it; an instance may start again under its ID.
+	// Incarnation is the start time of the instance in Unix milliseconds, as it reports it; an instance may start again under
+	// its ID.
 	Incarnation int64          `json:"born"`
 	Service     string         `json:"service"`
 	Address     netip.AddrPort `json:"address"`
