Report what was granted of a rate to the VM that owns it next

The owner that returns counts what others could grant as spread evenly over its absence. A hot account takes it at the end: an interim owner and the VMs alone, which have 1.03 of the limit together, can grant it in the last 2.6 s, and the owner that returns then frees the rate once more.

A VM that granted tokens in the last window and sees another as the owner now sends it what it granted in each slot of 0.1 s, in a new message. It sends again when it granted more or the message failed, and a report replaces the last one of the same VM. The owner grants at most the limit less what it granted and what was reported. This refuses only what is beyond the limit, and nothing is sent while the owner stays. Older daemons refuse the message; then the owner is as cautious as before.

--- a/internal/relayer/rates.go
+++ b/internal/relayer/rates.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/jacinthproxy/jacinthproxy/internal/logger"
 	"github.com/jacinthproxy/jacinthproxy/internal/messenger"
 	"github.com/jacinthproxy/jacinthproxy/internal/messenger/wire"
 	"github.com/jacinthproxy/jacinthproxy/internal/router"
@@ -32,6 +34,8 @@
 	*limiter.WindowLimiter
 	// ownedAt is when this VM was last known to be the owner.
 	ownedAt time.Time
+	// reportedTo is the owner that knows all that this VM granted; zero if there is none.
+	reportedTo placer.VM
 }
 
 func newRates(r *Relayer) *rates {
@@ -112,39 +116,57 @@
 // grant takes up to want tokens from the bucket of an account that this VM owns, and creates the bucket if there is
 // none.
 func (s *rates) grant(account string, want int) (*wire.Taken, error) {
-	r := s.relayer
-	if err := r.checkOwner(); err != nil {
+	l, err := s.ownedLimit(account)
+	if err != nil {
 		return nil, err
 	}
-	t, _ := r.Tracker.Table()
+	// An owner that lost contact with a part of the fleet leaves that part its share of the rate.
+	share := s.relayer.reachableShare()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.relayer.Clock.Now()
+	b := s.bucket(now, account, l)
+	b.SetShare(now, share)
+	if n := b.Take(now, want); n > 0 {
+		b.reportedTo = placer.VM{}
+		return &wire.Taken{Tokens: uint32(n)}, nil
+	}
+	return &wire.Taken{NextMs: uint32(b.RetryAfter(now).Milliseconds() + 1)}, nil
+}
+
+// ownedLimit returns the limit of an account, or an error if this VM must not own its rate now.
+func (s *rates) ownedLimit(account string) (limiter.Limit, error) {
+	if err := s.relayer.checkOwner(); err != nil {
+		return limiter.Limit{}, err
+	}
+	t, _ := s.relayer.Tracker.Table()
 	if t == nil {
-		return nil, errors.New("this daemon knows no configuration")
+		return limiter.Limit{}, errors.New("this daemon knows no configuration")
 	}
 	l, ok := limitOf(t, account)
 	if !ok {
-		return nil, errors.Newf("client account %s is not configured here", account)
+		return limiter.Limit{}, errors.Newf("client account %s is not configured here", account)
 	}
-	// An owner that lost contact with a part of the fleet leaves that part its share of the rate.
-	share := r.reachableShare()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := r.Clock.Now()
+	return l, nil
+}
+
+// bucket returns the bucket of an account that has the limit l, and creates it if there is none. s.mu must be held.
+func (s *rates) bucket(now time.Time, account string, l limiter.Limit) *rateBucket {
+	r := s.relayer
 	b := s.buckets[account]
 	if b == nil {
 		initial := initialSeconds
 		if r.coldStart() {
 			initial = coldStartSeconds
 		}
-		b = &rateBucket{limiter.NewWindowLimiter(now, r.RateWindow, l, limiter.Tokens(initialTokens+initial*l.Rate)), now}
+		b = &rateBucket{
+			WindowLimiter: limiter.NewWindowLimiter(now, r.RateWindow, l, limiter.Tokens(initialTokens+initial*l.Rate)), ownedAt: now,
+		}
 		s.buckets[account] = b
 		r.Logger.Info("owning rate", zap.String("account", account), zap.Float64("rate", l.Rate))
 	}
 	b.SetLimit(now, l)
-	b.SetShare(now, share)
-	if n := b.Take(now, want); n > 0 {
-		return &wire.Taken{Tokens: uint32(n)}, nil
-	}
-	return &wire.Taken{NextMs: uint32(b.RetryAfter(now).Milliseconds() + 1)}, nil
+	return b
 }
 
 // place sets this VM's share of each rate: the part of the fleet that it reaches while it owns the rate, else none. When it
@@ -162,7 +184,7 @@
 		}
 		if o, ok := p.owner(rateKey(a), ""); ok && o.Address == p.self.Address {
 			b.SetShare(now, share)
-			b.ownedAt = now
+			b.ownedAt, b.reportedTo = now, placer.VM{}
 			continue
 		}
 		b.SetShare(now, 0)
@@ -173,6 +195,80 @@
 	s.placedAt = now
 }
 
+// grantReport is a report of what this VM granted of an account's rate, for the VM that owns it now.
+type grantReport struct {
+	bucket  *rateBucket
+	owner   placer.VM
+	granted *wire.Granted
+}
+
+// ReportGrants tells the owners of rates what this VM granted of them within the last window, while it took itself for the owner.
+func (r *Relayer) ReportGrants(ctx context.Context) {
+	for _, g := range r.rates.reports(r.placement()) {
+		_, err := r.takeFromOwner(ctx, g.owner, &wire.Request{Body: &wire.Request_Granted{Granted: g.granted}})
+		if err != nil {
+			r.Logger.Debug("cannot report what was granted of a rate; will retry", zap.String("account", g.granted.GetAccount()),
+				zap.Stringer("owner", g.owner.Address), logger.Err(err))
+			r.rates.repeatReport(g)
+		}
+	}
+}
+
+// reports returns the reports that the owners of rates lack, and counts them as sent.
+func (s *rates) reports(p *placement) []grantReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.relayer.Clock.Now()
+	var gs []grantReport
+	for a, b := range s.buckets {
+		o, ok := p.owner(rateKey(a), "")
+		if !ok || o.Address == p.self.Address || o.Same(b.reportedTo) || !b.HasGranted(now) {
+			continue
+		}
+		b.reportedTo = o
+		counts, slot := b.Granted(now)
+		m := &wire.Granted{Account: a, SlotMs: uint32(slot.Milliseconds())}
+		for _, n := range counts {
+			m.Counts = append(m.Counts, uint32(math.Round(float64(n))))
+		}
+		gs = append(gs, grantReport{b, o, m})
+	}
+	return gs
+}
+
+// repeatReport makes a report that did not arrive due again.
+func (s *rates) repeatReport(g grantReport) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if g.owner.Same(g.bucket.reportedTo) {
+		g.bucket.reportedTo = placer.VM{}
+	}
+}
+
+// handleGranted records what a peer granted of the rate of an account that this VM owns.
+func (s *rates) handleGranted(from placer.VM, m *wire.Granted) error {
+	l, err := s.ownedLimit(m.GetAccount())
+	if err != nil {
+		return err
+	}
+	counts := make([]limiter.Tokens, len(m.GetCounts()))
+	for i, n := range m.GetCounts() {
+		counts[i] = limiter.Tokens(n)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.relayer.Clock.Now()
+	s.bucket(now, m.GetAccount(), l).Report(now, from, counts, time.Duration(m.GetSlotMs())*time.Millisecond)
+	return nil
+}
+
+// reportGrants reports what this VM granted of rates that others own.
+func (r *Relayer) reportGrants(ctx context.Context) {
+	for ; ctx.Err() == nil; r.sleep(ctx, tickInterval) {
+		r.ReportGrants(ctx)
+	}
+}
+
 // rateKey returns the key by which the owner of an account's rate is placed.
 func rateKey(account string) string { return "rate/" + account }
 
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -158,7 +158,8 @@
 func (r *Relayer) Run(ctx context.Context) {
 	r.starting.Store(true)
 	r.updateSelf()
-	loops := []func(context.Context){r.announce, r.readConfiguration, r.readRegistrations, r.readPeers, r.followLeader, r.runLeader, r.sendReports, r.fetchConfigurations}
+	loops := []func(context.Context){r.announce, r.readConfiguration, r.readRegistrations, r.readPeers, r.followLeader, r.runLeader, r.sendReports, r.fetchConfigurations,
+		r.reportGrants}
 	var g sync.WaitGroup
 	for _, l := range loops {
 		g.Go(func() { l(ctx) })
@@ -346,6 +347,8 @@
 	case *wire.Request_Take:
 		t, err := r.rates.grant(b.Take.GetAccount(), int(b.Take.GetWant()))
 		return takenReply(t), nil, err
+	case *wire.Request_Granted:
+		return takenReply(&wire.Taken{}), nil, r.rates.handleGranted(from, b.Granted)
 	case *wire.Request_TakeSend:
 		t, err := r.handleTakeSend(from, b.TakeSend)
 		return takenReply(t), nil, err
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -29,6 +29,8 @@
 	clock    *clockwork.FakeClock
 	relayers map[netip.AddrPort]*relayer.Relayer
 	cut      func(from, to netip.AddrPort) bool
+	// refuses reports whether the VMs do not know a kind of message.
+	refuses func(*wire.Request) bool
 }
 
 type link struct {
@@ -43,6 +45,9 @@
 	if r == nil || cut != nil && (cut(l.from.Address, to) || cut(to, l.from.Address)) {
 		return nil, errors.Mark(errors.New("the network link is cut"), messenger.ErrUnreachable)
 	}
+	if l.refuses != nil && l.refuses(req) {
+		req = &wire.Request{}
+	}
 	rep, _, err := r.Handle(ctx, l.from, req)
 	if err != nil {
 		return nil, errors.Mark(err, messenger.ErrRefused)
@@ -97,11 +102,12 @@
 	return f.relayers[i].TryAdmit(context.Background(), &f.account).Admitted
 }
 
-// advance advances the clock, and then each VM exchanges with its leader.
+// advance advances the clock, and then each VM exchanges with its leader and reports its grants.
 func (f *fleet) advance(d time.Duration) {
 	f.clock.Advance(d)
 	for _, r := range f.relayers {
 		r.Refresh(context.Background())
+		r.ReportGrants(context.Background())
 	}
 }
 
--- a/pkg/limiter/span.go
+++ b/pkg/limiter/span.go
@@ -21,6 +21,27 @@
 	return c
 }
 
+// Slots returns the counts of the window that ends at now, one for each slot, the latest first.
+func (c *WindowCounter) Slots(now time.Time) []Tokens {
+	c.advance(now)
+	ns := make([]Tokens, len(c.counts))
+	for i := range ns {
+		ns[i] = *c.count(c.lastSlot - int64(i))
+	}
+	return ns
+}
+
+// AddEarlier adds n to the count at the time age before now, if the window still contains it.
+func (c *WindowCounter) AddEarlier(now time.Time, age time.Duration, n Tokens) {
+	c.advance(now)
+	slot := c.slotNumber(now.Add(-max(0, age)))
+	if c.lastSlot-slot >= int64(len(c.counts)) {
+		return
+	}
+	*c.count(slot) += n
+	c.sum += n
+}
+
 // Add adds n to the count at now.
 func (c *WindowCounter) Add(now time.Time, n Tokens) {
 	c.advance(now)
@@ -52,8 +73,11 @@
 	}
 }
 
+// SlotLength returns the length of a slot.
+func (c *WindowCounter) SlotLength() time.Duration { return c.length / slotsPerWindow }
+
 func (c *WindowCounter) slotNumber(now time.Time) int64 {
-	return now.UnixNano() / (int64(c.length) / slotsPerWindow)
+	return now.UnixNano() / int64(c.SlotLength())
 }
 
 func (c *WindowCounter) count(slot int64) *Tokens { return &c.counts[slot%int64(len(c.counts))] }
--- a/pkg/limiter/window.go
+++ b/pkg/limiter/window.go
@@ -1,6 +1,10 @@
 package limiter
 
-import "time"
+import (
+	"time"
+
+	"github.com/jacinthproxy/jacinthproxy/pkg/placer"
+)
 
 // WindowLimiter limits an account to what its limit allows in any window of a given length: the tokens that
 // accrue over the window, plus the burst. Unlike a Bucket, it grants the burst again in each window to an
@@ -11,6 +15,9 @@
 	bucket *Bucket
 	// granted counts the tokens granted in the window, and others those that other limiters may have granted.
 	granted, others *WindowCounter
+	// own counts only what this limiter granted, and reported by sender what other limiters reported of theirs.
+	own      *WindowCounter
+	reported map[placer.VM]*WindowCounter
 	// share is the share of the limit that this limiter may grant, last set at sharedAt and last lowered at loweredAt.
 	share               float64
 	sharedAt, loweredAt time.Time
@@ -21,6 +28,7 @@
 func NewWindowLimiter(now time.Time, window time.Duration, l Limit, initial Tokens) *WindowLimiter {
 	w := &WindowLimiter{
 		limit: l, granted: NewWindowCounter(now, window), others: NewWindowCounter(now, window), share: 1, sharedAt: now,
+		own: NewWindowCounter(now, window), reported: map[placer.VM]*WindowCounter{},
 	}
 	w.bucket = NewBucket(now, w.pacingLimit(l), initial)
 	preGranted := max(0, w.maxPerWindow()-initial)
@@ -47,6 +55,38 @@
 	w.share, w.sharedAt = share, now
 }
 
+// Granted returns the tokens that this limiter granted in the window that ends at now, one count for each slot, the latest first,
+// and the length of a slot.
+func (w *WindowLimiter) Granted(now time.Time) ([]Tokens, time.Duration) {
+	return w.own.Slots(now), w.own.SlotLength()
+}
+
+// HasGranted reports whether this limiter granted a token in the window that ends at now.
+func (w *WindowLimiter) HasGranted(now time.Time) bool { return w.own.Sum(now) > epsilon }
+
+// Report replaces what the limiter of another VM reported that it granted: one count for each slot of the given length, the
+// latest first. SetShare assumes when the others granted their tokens; what they report can only lower what is left.
+func (w *WindowLimiter) Report(now time.Time, from placer.VM, counts []Tokens, slot time.Duration) {
+	c := NewWindowCounter(now, w.own.length)
+	for i, n := range counts {
+		c.AddEarlier(now, time.Duration(i)*slot, n)
+	}
+	w.reported[from] = c
+}
+
+// known returns the tokens that this limiter and those that reported granted in the window that ends at now.
+func (w *WindowLimiter) known(now time.Time) Tokens {
+	sum := w.own.Sum(now)
+	for from, c := range w.reported {
+		n := c.Sum(now)
+		if n <= epsilon {
+			delete(w.reported, from)
+		}
+		sum += n
+	}
+	return sum
+}
+
 // maxPerWindow returns the most tokens that may be granted in one window.
 func (w *WindowLimiter) maxPerWindow() Tokens {
 	return w.limit.Refill(w.granted.length) + w.limit.Burst
@@ -69,26 +109,31 @@
 	if after := w.maxPerWindow(); after < before {
 		w.granted.Scale(after / before)
 		w.others.Scale(after / before)
+		w.own.Scale(after / before)
+		for _, c := range w.reported {
+			c.Scale(after / before)
+		}
 	}
 }
 
 // Take grants up to n whole tokens and returns how many. It keeps the tokens granted in a window within this limiter's share of
 // what the window allows, and those of all limiters within the whole.
 func (w *WindowLimiter) Take(now time.Time, n int) int {
-	got := min(n, int(w.bucket.Level(now)+epsilon), int(w.remaining(w.granted.Sum(now), w.others.Sum(now))+epsilon))
+	got := min(n, int(w.bucket.Level(now)+epsilon), int(w.remaining(w.granted.Sum(now), w.others.Sum(now), w.known(now))+epsilon))
 	if got <= 0 {
 		return 0
 	}
 	w.bucket.Take(now, Tokens(got), nil)
 	w.granted.Add(now, Tokens(got))
+	w.own.Add(now, Tokens(got))
 	return got
 }
 
-// remaining returns how many tokens may still be granted in a window in which this limiter and others granted some; it is
-// negative if the share was exceeded.
-func (w *WindowLimiter) remaining(granted, others Tokens) Tokens {
+// remaining returns how many tokens may still be granted in a window in which this limiter and others granted some, and known
+// are those that are known to be granted; it is negative if the share was exceeded.
+func (w *WindowLimiter) remaining(granted, others, known Tokens) Tokens {
 	most := w.maxPerWindow()
-	return min(Tokens(w.share)*most, max(0, most-others)) - granted
+	return min(min(Tokens(w.share)*most, max(0, most-others))-granted, most-known)
 }
 
 // RetryAfter returns the time until Take can grant a token, if no other is taken before and the share stays. It is the length of
@@ -98,10 +143,14 @@
 		return w.granted.length
 	}
 	wait := time.Duration(float64(1-w.bucket.Level(now)) / w.pacingLimit(w.limit).Rate * float64(time.Second))
-	granted, others := w.granted.Sum(now), w.others.Sum(now)
-	for i := int64(1); w.remaining(granted, others) < 1 && i <= int64(len(w.granted.counts)); i++ {
+	granted, others, known := w.granted.Sum(now), w.others.Sum(now), w.known(now)
+	for i := int64(1); w.remaining(granted, others, known) < 1 && i <= int64(len(w.granted.counts)); i++ {
 		granted -= *w.granted.count(w.granted.lastSlot + i)
 		others -= *w.others.count(w.others.lastSlot + i)
+		known -= *w.own.count(w.own.lastSlot + i)
+		for _, c := range w.reported {
+			known -= *c.count(c.lastSlot + i)
+		}
 		wait = max(wait, time.Duration(i)*w.granted.length/slotsPerWindow)
 	}
 	return max(0, wait)
--- a/pkg/limiter/window_test.go
+++ b/pkg/limiter/window_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/jacinthproxy/jacinthproxy/pkg/limiter"
+	"github.com/jacinthproxy/jacinthproxy/pkg/placer"
 )
 
 const window = 5 * time.Second
@@ -146,3 +147,48 @@
 		require.LessOrEqual(t, n, 300)
 	}
 }
+
+// TestReportsRefuseNoAccountWithinItsLimit lets the owner that returns know what another granted within the rate; an account
+// that goes on within it is served as without the report.
+func TestReportsRefuseNoAccountWithinItsLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1_700_000_000, 0)
+		l := limiter.Limit{Rate: rapid.Float64Range(5, 200).Draw(t, "rate"), Burst: limiter.Tokens(rapid.Float64Range(1, 200).Draw(t, "burst"))}
+		told, untold := limiter.NewWindowLimiter(now, window, l, 3), limiter.NewWindowLimiter(now, window, l, 3)
+		share := rapid.Float64Range(0, 1).Draw(t, "share")
+		told.SetShare(now, share)
+		untold.SetShare(now, share)
+		now = now.Add(8 * time.Second)
+		counts := make([]limiter.Tokens, 50)
+		used := rapid.Float64Range(0, 0.95).Draw(t, "used")
+		for i := range counts {
+			counts[i] = limiter.Tokens(used*l.Rate) * limiter.Tokens(window.Seconds()) / 50
+		}
+		told.Report(now, placer.VM{Incarnation: 1}, counts, window/50)
+		told.Report(now, placer.VM{Incarnation: 1}, counts, window/50) // Repeated reports count once.
+		told.SetShare(now, 1)
+		untold.SetShare(now, 1)
+		due := 0.0
+		for range 500 {
+			now = now.Add(20 * time.Millisecond)
+			for due += used * l.Rate * 0.02; due >= 1; due-- {
+				require.Equal(t, untold.Take(now, 1), told.Take(now, 1))
+			}
+		}
+	})
+}
+
+// TestReportedTokensCountUntilTheyLeaveTheWindow reports a whole window of tokens, granted half a window ago.
+func TestReportedTokensCountUntilTheyLeaveTheWindow(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	l := limiter.Limit{Rate: 20, Burst: 20}
+	w := limiter.NewWindowLimiter(now, window, l, 120)
+	counts := make([]limiter.Tokens, 51)
+	counts[25] = 120
+	now = now.Add(8 * time.Second)
+	w.Report(now, placer.VM{Incarnation: 1}, counts, window/50)
+	require.Zero(t, w.Take(now, 1))
+	require.InDelta(t, 2.5, w.RetryAfter(now).Seconds(), 0.2)
+	require.Zero(t, w.Take(now.Add(2400*time.Millisecond), 1))
+	require.Equal(t, 1, w.Take(now.Add(2700*time.Millisecond), 1))
+}
