Begin an owner's bucket of an instance's limit with its share of a token

A VM that is cut off from all others owns the limits of all instances for itself, with its share of the rate, but its bucket began with a whole token and could save up a quarter of a second of the whole limit. 15 of 44 VMs that are each alone added up 15 tokens: 19 requests in 4 s to an instance that takes 1/s, 11 are allowed.

The bucket now begins with the VM's share of a token and holds a quarter of a second of its share and one token. A VM that reaches the whole fleet has a share of 1, so nothing changes there.

--- a/internal/relayer/constants.go
+++ b/internal/relayer/constants.go
@@ -110,8 +110,8 @@
 	// this VM continues at that rate without the owner. The grants to all VMs together were within the rate, and a
 	// new owner is known by then.
 	grantWindow = 1500 * time.Millisecond
-	// The bucket of an instance's limit holds limitBurst tokens and limitBurstSeconds of the limit, and starts with
-	// limitBurst.
+	// The bucket of an instance's limit holds limitBurst tokens and limitBurstSeconds of the VM's share of the limit. It
+	// starts with the VM's share of limitBurst: many VMs that are each cut off would add up a token each.
 	limitBurst        = 1
 	limitBurstSeconds = 0.25
 	// limitOwnerBackoff is how long an instance is skipped whose limit's owner did not answer.
--- a/internal/relayer/limits.go
+++ b/internal/relayer/limits.go
@@ -105,14 +105,15 @@
 		return nil, errors.New("another daemon owns the limit of the instance")
 	}
 	// An owner that lost contact with a part of the fleet leaves that part its share of the limit.
-	limit := limiter.Limit{Rate: l.Rate * r.liveShare(), Burst: limiter.Tokens(limitBurst + limitBurstSeconds*l.Rate)}
+	share := r.liveShare()
+	limit := limiter.Limit{Rate: l.Rate * share, Burst: limiter.Tokens(limitBurst + limitBurstSeconds*l.Rate*share)}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := r.Clock.Now()
 	b := s.buckets[instance]
 	if b == nil {
 		s.dropUnused(now)
-		b = &limitBucket{Bucket: limiter.NewBucket(now, limit, limitBurst)}
+		b = &limitBucket{Bucket: limiter.NewBucket(now, limit, limiter.Tokens(limitBurst*share))}
 		s.buckets[instance] = b
 		r.Logger.Info("owning limit", zap.String("instance", instance), zap.Float64("rate", l.Rate))
 	}
--- a/internal/relayer/limits_test.go
+++ b/internal/relayer/limits_test.go
@@ -154,6 +154,39 @@
 	}
 }
 
+// VMs that are each cut off from all others must not add up a saved token each.
+func TestInstanceLimitHoldsWhileManyVMsAreAlone(t *testing.T) {
+	const cutAt, cutEnd = 6 * time.Second, 14 * time.Second
+	for _, limit := range []float64{0.5, 1, 3, 20} {
+		for _, busyFor := range []time.Duration{time.Second, cutEnd} {
+			t.Run(fmt.Sprint(limit, "/s, busy for ", busyFor), func(t *testing.T) {
+				f := newLimitedFleet(44, limit)
+				alone := map[netip.AddrPort]bool{}
+				for i, m := range f.members {
+					alone[m.Address] = i < 15
+					f.toldAt[i] = f.clock.Now().Add(-limitTold)
+					f.relayers[i].ObserveLimit("i", limit, f.clock.Now())
+				}
+				for at := time.Duration(0); at < cutEnd+6*time.Second; at += 100 * time.Millisecond {
+					cut := at >= cutAt && at < cutEnd
+					f.cut = func(from, to netip.AddrPort) bool { return cut && from != to && (alone[from] || alone[to]) }
+					f.see(alone, at >= cutAt+1500*time.Millisecond && at < cutEnd+500*time.Millisecond)
+					f.advance(100 * time.Millisecond)
+					for i := range f.relayers {
+						if at < cutEnd-busyFor && (at%time.Second != 0 || i != int(at/time.Second)) {
+							continue
+						}
+						for range 1 + int(limit/20) {
+							f.send(i)
+						}
+					}
+				}
+				require.LessOrEqual(t, float64(f.most()), 1.5*limit*limitSpan.Seconds()+5)
+			})
+		}
+	}
+}
+
 func TestLimitReachesAllVMsBeforeTheyAreTold(t *testing.T) {
 	f := newLimitedFleet(12, 5)
 	follower := slices.IndexFunc(f.relayers, func(r *relayer.Relayer) bool { return !r.IsLeader() })
