--- a/internal/tracker/instances.go
+++ b/internal/tracker/instances.go
@@ -153,20 +153,26 @@
 	if unchanged {
 		return false
 	}
+	t.logReport(from, e, !known)
+	return true
+}
+
+// logReport logs a report of an instance that changed something. Those that are new at the start are not logged one by one. t.mu
+// must be held.
+func (t *Tracker) logReport(from change, e Entry, added bool) {
 	omitted := zap.Skip()
-	if !known {
+	if added {
 		if t.entriesReadAt.IsZero() {
-			return true // confirm logs their number.
+			return // confirm logs their number.
 		}
 		var ok bool
 		if omitted, ok = t.startLog.instances.Allow(t.clock.Now()); !ok {
-			return true
+			return
 		}
 	}
 	t.logger.Info("instance", append(from.fields(e.ID), zap.String("service", e.Service), zap.Stringer("condition", e.Condition),
 		zap.Stringer("address", e.Address), zap.String("failureDomain", e.Domain), zap.Int64("sequenceNumber", e.SequenceNumber),
 		zap.String("offset", formatOffset(e.Offset)), omitted)...)
-	return true
 }
 
 // endRegistration ends a registration. The instance is not used any more, or only until the end of the grace period if
