--- a/internal/dispatcher/backend.go
+++ b/internal/dispatcher/backend.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -15,6 +16,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/jacinthproxy/jacinthproxy/internal/forwarder"
 )
 
 var (
@@ -23,6 +26,7 @@
 	errDraining          = errors.New("the backend server drains")
 	errStarting          = errors.New("the backend server starts")
 	errRequestIDMismatch = errors.New("the answer belongs to another request")
+	errSpliced           = errors.New("the answer begins with a part of another one")
 	errCloseDelimited    = errors.New("the answer has no length, so it cannot be known to be whole")
 	errServerError       = errors.New("the backend server responded with a server error")
 	errUnhealthy         = errors.New("the health check reports that the backend server is unhealthy")
@@ -33,6 +37,11 @@
 type backend struct {
 	address   netip.AddrPort
 	transport *http.Transport
+	// unpooled opens a connection for each request.
+	unpooled *http.Transport
+	// refused are requests that the backend server refused. One that is sent again gets a connection of its own: a late copy of
+	// its refusal would name it, too.
+	refused *refusedIDs
 	// echoesIDs is set once a response named its request: one that names none then belongs to no request.
 	echoesIDs atomic.Bool
 }
@@ -41,7 +50,7 @@
 	d := &net.Dialer{Timeout: connectTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 	}}
-	return &backend{address: a, transport: &http.Transport{
+	t := &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			c, err := d.DialContext(ctx, network, address)
 			if err != nil {
@@ -53,7 +62,10 @@
 		MaxIdleConnsPerHost:    maxIdlePerBackend,
 		IdleConnTimeout:        idleConnTimeout,
 		MaxResponseHeaderBytes: maxHeadBytes,
-	}}
+	}
+	unpooled := t.Clone()
+	unpooled.DisableKeepAlives = true
+	return &backend{address: a, transport: t, unpooled: unpooled, refused: newRefusedIDs()}
 }
 
 func (b *backend) close() { b.transport.CloseIdleConnections() }
@@ -141,7 +153,11 @@
 	if err != nil {
 		return Answer{}, err
 	}
-	resp, err := b.transport.RoundTrip(req)
+	transport := b.transport
+	if b.refused.has(r.ID) {
+		transport = b.unpooled
+	}
+	resp, err := transport.RoundTrip(req)
 	if err != nil {
 		return Answer{}, b.classify(ctx, &t, err)
 	}
@@ -176,6 +192,9 @@
 // receive checks a response and reads its body into memory. If the body is longer than MaxBufferedBody, the remainder
 // is left to the reader of Rest.
 func (b *backend) receive(r Request, resp *http.Response) (Answer, error) {
+	if forwarder.Spliced(resp) {
+		return Answer{}, errSpliced
+	}
 	id := resp.Header.Get(HeaderRequestID)
 	if id == r.ID {
 		b.echoesIDs.Store(true)
@@ -183,6 +202,7 @@
 		return Answer{}, errors.Wrapf(errRequestIDMismatch, "id %q came for %q", id, r.ID)
 	}
 	if err := refusal(resp); err != nil {
+		b.refused.add(r.ID)
 		return Answer{}, err
 	}
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Close {
@@ -217,8 +237,8 @@
 	return nil
 }
 
-// probe sends a health check to the backend server. An error wraps errUnhealthy if the backend server responded with a
-// server error; any other error means that it gave no complete response.
+// probe sends a health check to the backend server, with a request ID that tells its response from a late one. An error wraps
+// errUnhealthy if the backend server responded with a server error; any other error means that it gave no complete response.
 func (b *backend) probe(ctx context.Context, path string) (draining bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
@@ -226,11 +246,16 @@
 	if err != nil {
 		return false, err
 	}
+	id := "probe-" + strconv.FormatUint(rand.Uint64(), 16)
+	req.Header.Set(HeaderRequestID, id)
 	resp, err := b.transport.RoundTrip(req)
 	if err != nil {
 		return false, err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if got := resp.Header.Get(HeaderRequestID); got != "" && got != id {
+		return false, errors.Wrapf(errRequestIDMismatch, "id %q came for %q", got, id)
+	}
 	_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, MaxBufferedBody))
 	if resp.Header.Get(HeaderState) == stateDraining {
 		return true, nil
--- a/internal/dispatcher/backend_test.go
+++ b/internal/dispatcher/backend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -9,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/jacinthproxy/jacinthproxy/cmd/standin/emulator"
@@ -60,7 +62,75 @@
 			require.NoError(t, err)
 			_, err = b.send(t.Context(), Request{ID: "2", Method: http.MethodGet, Target: "/"})
 			require.ErrorIs(t, err, errRequestIDMismatch)
-			require.NotErrorIs(t, err, errNotStarted)
+			require.False(t, errors.Is(err, errNotStarted), err)
 		})
 	}
 }
+
+// The copy of a refusal names the request, and says nothing of the same request when that is sent again.
+func TestCopyOfARefusalDoesNotSayThatTheRequestSentAgainHasNotRun(t *testing.T) {
+	for _, state := range []string{stateShedding, stateDraining, stateStarting} {
+		t.Run(state, func(t *testing.T) {
+			refusedOn := map[string]bool{}
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				id := r.Header.Get(HeaderRequestID)
+				w.Header().Set(HeaderRequestID, id)
+				if refusedOn[r.RemoteAddr] || len(refusedOn) == 0 && id == "1" {
+					refusedOn[r.RemoteAddr] = id == "1"
+					w.Header().Set(HeaderState, state)
+					w.WriteHeader(http.StatusServiceUnavailable)
+				}
+			}))
+			t.Cleanup(s.Close)
+			b := newBackend(netip.MustParseAddrPort(s.Listener.Addr().String()))
+			t.Cleanup(b.close)
+			post := Request{ID: "1", Method: http.MethodPost, Target: "/"}
+			_, err := b.send(t.Context(), post)
+			require.True(t, errors.Is(err, errNotStarted), err)
+			a, err := b.send(t.Context(), post)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, a.Status)
+		})
+	}
+}
+
+// A late response to another request no longer says how the backend server is.
+func TestLateResponseIsNotTakenForThatOfAHealthCheck(t *testing.T) {
+	for name, late := range map[string]bool{"late": true, "own": false} {
+		t.Run(name, func(t *testing.T) {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set(HeaderRequestID, r.Header.Get(HeaderRequestID))
+				if late {
+					w.Header().Set(HeaderRequestID, "1")
+				}
+				w.Header().Set(HeaderState, stateDraining)
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}))
+			t.Cleanup(s.Close)
+			b := newBackend(netip.MustParseAddrPort(s.Listener.Addr().String()))
+			t.Cleanup(b.close)
+			draining, err := b.probe(t.Context(), "/health")
+			require.Equal(t, late, errors.Is(err, errRequestIDMismatch), err)
+			require.Equal(t, !late, draining)
+		})
+	}
+}
+
+// Bytes of an earlier refusal that end within a header must not make the response behind them a refusal.
+func TestPartOfAnEarlierRefusalDoesNotMakeTheNextResponseOne(t *testing.T) {
+	const part = "HTTP/1.1 503 Service Unavailable\r\n" + HeaderState + ": " + stateShedding + "\r\nDate: Sun,"
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		_, _ = io.WriteString(c, part+"HTTP/1.1 200 OK\r\n"+HeaderRequestID+": "+r.Header.Get(HeaderRequestID)+"\r\nContent-Length: 0\r\n\r\n")
+	}))
+	t.Cleanup(s.Close)
+	b := newBackend(netip.MustParseAddrPort(s.Listener.Addr().String()))
+	t.Cleanup(b.close)
+	_, err := b.send(t.Context(), Request{ID: "1", Method: http.MethodPost, Target: "/"})
+	require.Error(t, err)
+	require.False(t, errors.Is(err, errNotStarted), err)
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"hash/maphash"
 	"io"
 	"math"
 	"net"
@@ -31,6 +32,8 @@
 	// maxResponsesRead bounds the responses that are read for one request. Interim responses and responses to earlier
 	// requests are skipped.
 	maxResponsesRead = 3
+	// maxLoggedID bounds the length of a request ID in a log, in bytes.
+	maxLoggedID = 64
 	// tcpUserTimeout is how long sent bytes may stay unacknowledged before the connection fails (TCP_USER_TIMEOUT).
 	tcpUserTimeout = 5 * time.Second
 )
@@ -89,11 +92,11 @@
 	// Pause is how long the instance wants no requests from this VM; zero if it stated none. It also holds for a response that
 	// is returned with an error.
 	Pause time.Duration
-	// Reused is set if the connection had carried other requests before.
-	Reused bool
-	// Skipped is the number of final responses that came before it and belong to another request or to none. It also holds
-	// for a response that is returned with an error.
-	Skipped int
+	// Connection is the connection that it came on. It also holds for a response that is returned with an error.
+	Connection Connection
+	// Skipped are the request IDs of the final responses that came before it and belong to another request or to none, cut to
+	// maxLoggedID bytes. It also holds for a response that is returned with an error.
+	Skipped []string
 	// hold is the memory reserved for Body; nil if there is none.
 	hold *hold
 }
@@ -114,13 +117,15 @@
 	pool    *pool
 	dialer  net.Dialer
 	memory  memory
+	// seed is that of the keys of request IDs.
+	seed maphash.Seed
 }
 
 // New returns a Forwarder. MaxIdle bounds the idle connections that it keeps open, and maxBodyMemory the memory for buffered
 // response bodies that are not small, in bytes; beyond it, bodies are streamed.
 func New(h HeaderNames, maxIdle int, maxBodyMemory int64, clock clockwork.Clock) *Forwarder {
 	return &Forwarder{
-		headers: h, clock: clock, pool: newPool(maxIdle, clock), memory: memory{max: maxBodyMemory},
+		headers: h, clock: clock, pool: newPool(maxIdle, clock), memory: memory{max: maxBodyMemory}, seed: maphash.MakeSeed(),
 		dialer: net.Dialer{Timeout: ConnectTimeout, Control: setUserTimeout},
 	}
 }
@@ -132,15 +137,19 @@
 func (f *Forwarder) Stats() (opened int64, idle int) { return f.pool.stats() }
 
 // Send sends a request and returns the response, which must be closed. MaxIdle is how long a kept connection may have
-// been idle to be reused; zero opens a new one. When the context ends, Send closes the connection, which cancels the request at
+// been idle to be reused; zero opens a new one. No connection carries two requests with the same ID. When the context ends, Send closes the connection, which cancels the request at
 // the instance; the returned error is then also marked with the context's error.
 func (f *Forwarder) Send(ctx context.Context, addr netip.AddrPort, r Request, maxIdle time.Duration) (Response, error) {
-	c, err := f.connect(ctx, addr, maxIdle)
+	key := f.requestKey(r.ID)
+	c, err := f.connect(ctx, addr, key, maxIdle)
 	if err != nil {
 		return Response{}, errors.Mark(err, ErrNotSent)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	connection := c.describe(key)
+	c.carried = append(c.carried, key)
 	resp, err := f.roundTrip(c, r)
+	resp.Connection = connection
 	if err != nil {
 		resp.hold.release()
 		stop()
@@ -148,9 +157,8 @@
 		if ctx.Err() != nil {
 			err = errors.Mark(err, ctx.Err())
 		}
-		return Response{Leaving: resp.Leaving, Pause: resp.Pause, Skipped: resp.Skipped}, err
+		return Response{Leaving: resp.Leaving, Pause: resp.Pause, Skipped: resp.Skipped, Connection: connection}, err
 	}
-	resp.Reused = c.requests > 1
 	if resp.BodyRest != nil {
 		resp.BodyRest = &bodyRest{Reader: resp.BodyRest, close: func() { stop(); _ = c.Close() }}
 		return resp, nil
@@ -163,10 +171,11 @@
 	return resp, nil
 }
 
-func (f *Forwarder) connect(ctx context.Context, addr netip.AddrPort, maxIdle time.Duration) (*conn, error) {
+// connect returns a connection that has not carried the request with the given key: an extra response names the request that it
+// responded to, but not which sending of it.
+func (f *Forwarder) connect(ctx context.Context, addr netip.AddrPort, key uint64, maxIdle time.Duration) (*conn, error) {
 	if maxIdle > 0 {
-		if c := f.pool.get(addr, maxIdle); c != nil {
-			c.requests++
+		if c := f.pool.get(addr, key, maxIdle); c != nil {
 			return c, nil
 		}
 	}
@@ -176,7 +185,7 @@
 	}
 	f.pool.opened.Add(1)
 	in := &boundedReader{r: nc}
-	return &conn{Conn: nc, to: addr, in: in, r: bufio.NewReaderSize(in, readBufferSize), requests: 1}, nil
+	return &conn{Conn: nc, to: addr, in: in, r: bufio.NewReaderSize(in, readBufferSize)}, nil
 }
 
 // readBufferSize is the size of the read buffer of a connection, in bytes.
@@ -255,7 +264,7 @@
 // readResponse reads the response to a request and skips interim responses and those that belong to another request or to
 // none. That the instance leaves holds also if one of these states it.
 func (f *Forwarder) readResponse(c *conn, r Request) (resp Response, err error) {
-	leaving, pause, skipped := false, time.Duration(0), 0
+	leaving, pause, skipped := false, time.Duration(0), []string(nil)
 	defer func() { resp.Leaving, resp.Pause, resp.Skipped = leaving, pause, skipped }()
 	for range maxResponsesRead {
 		c.in.limit(maxHeadBytes)
@@ -264,13 +273,16 @@
 		if err != nil {
 			return Response{}, errors.Wrap(err, "answer")
 		}
+		if Spliced(httpResp) {
+			return Response{}, errors.New("the answer begins with a part of another one")
+		}
 		leaving = leaving || f.statesLeaving(httpResp)
 		if httpResp.StatusCode < http.StatusOK && httpResp.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
 		if id := httpResp.Header.Get(f.headers.RequestID); id != r.ID {
-			skipped++
-			if id == "" && c.requests == 1 {
+			skipped = append(skipped, id[:min(len(id), maxLoggedID)])
+			if id == "" && len(c.carried) == 1 {
 				// No earlier request of the connection can have caused it, but nothing binds what it states to this one.
 				return Response{}, errors.New("the answer names no request")
 			}
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -13,6 +13,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/jacinthproxy/jacinthproxy/internal/forwarder"
+	"github.com/jacinthproxy/jacinthproxy/internal/logger"
 	"github.com/jacinthproxy/jacinthproxy/internal/relayer"
 	"github.com/jacinthproxy/jacinthproxy/internal/router"
 	"github.com/jacinthproxy/jacinthproxy/pkg/balancer"
@@ -28,6 +29,9 @@
 	// they leave room for those of failures.
 	answersPerSecond = 25
 	answersBurst     = 100
+	// attemptsPerSecond and attemptsBurst bound the log lines of attempts, so that they leave room for those of requests.
+	attemptsPerSecond = 50
+	attemptsBurst     = 200
 	// unreadBodyTimeout bounds the time that a connection stays open after a response before the body's end.
 	unreadBodyTimeout = time.Second
 	// hedgeFraction is the fraction of a route's latency objective after which an idempotent request is hedged.
@@ -97,8 +101,8 @@
 	AwaitView(ctx context.Context, maxAge, timeout time.Duration) bool
 	// Usable reports whether an instance may get new requests, and the age of the view that says so.
 	Usable(instance string) (usable bool, viewAge time.Duration)
-	// MarkMoved marks an instance as no longer present at its address.
-	MarkMoved(id string)
+	// MarkMoved marks an incarnation of an instance as no longer present at its address.
+	MarkMoved(i balancer.Instance)
 	// MarkLeaving records that an incarnation of an instance stated in a response that it leaves. It is not picked any more.
 	MarkLeaving(id string, incarnation int64)
 }
@@ -113,9 +117,9 @@
 type Limiter interface {
 	// AdmitSend decides whether a request may be sent to an instance now.
 	AdmitSend(ctx context.Context, instance string) relayer.Admission
-	// ObserveLimit records what the response to a request that was sent at the given time stated about an instance's
+	// ObserveLimit records what the response to a request that was sent at the given time stated about an incarnation's
 	// limit, in requests per second; zero if there is none.
-	ObserveLimit(instance string, rate float64, sentAt time.Time)
+	ObserveLimit(instance string, incarnation int64, rate float64, sentAt time.Time)
 }
 
 // Picker chooses instances.
@@ -184,15 +188,25 @@
 	stop        *stop
 	// answerLog bounds the log lines of requests that were answered by the first instance.
 	answerLog *rate.Limiter
+	// attemptLog bounds the log lines of attempts.
+	attemptLog    *logger.Limiter
+	attemptCounts *attemptCounts
 	// bodyBytes is the memory reserved for request bodies.
 	bodyBytes atomic.Int64
 }
 
 // New returns a Receiver.
 func New(o Options) *Receiver {
-	return &Receiver{Options: o, failedWaits: failedWaits{at: map[string]time.Time{}}, splits: splits{at: map[string]float64{}}, stop: newStop(), answerLog: rate.NewLimiter(answersPerSecond, answersBurst)}
+	return &Receiver{
+		Options: o, failedWaits: failedWaits{at: map[string]time.Time{}}, splits: splits{at: map[string]float64{}}, stop: newStop(),
+		answerLog: rate.NewLimiter(answersPerSecond, answersBurst), attemptLog: logger.NewLimiter(attemptsPerSecond, attemptsBurst),
+		attemptCounts: newAttemptCounts(),
+	}
 }
 
+// OmittedLines returns the number of log lines of attempts that were left out since the start.
+func (r *Receiver) OmittedLines() int64 { return r.attemptLog.Omitted() }
+
 // jitteredRetryAfter returns max(atLeast, minRetryAfter) plus up to retryAfterJitter at random.
 func jitteredRetryAfter(atLeast time.Duration) time.Duration {
 	return max(atLeast, minRetryAfter) + rand.N(retryAfterJitter)
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -127,10 +127,10 @@
 func (f *fixture) NextAvailable(string, balancer.Request) (time.Duration, bool) {
 	return f.nextAvailable, f.nextAvailable > 0
 }
-func (f *fixture) ObserveLimit(id string, rate float64, _ time.Time) {
+func (f *fixture) ObserveLimit(id string, _ int64, rate float64, _ time.Time) {
 	f.limits = append(f.limits, fmt.Sprint(id, " ", rate))
 }
-func (f *fixture) MarkMoved(id string) { f.moved = append(f.moved, id) }
+func (f *fixture) MarkMoved(i balancer.Instance) { f.moved = append(f.moved, i.ID) }
 func (f *fixture) MarkLeaving(id string, incarnation int64) {
 	f.leavings = append(f.leavings, fmt.Sprint(id, " ", incarnation))
 }
@@ -144,7 +144,7 @@
 func (f *fixture) Pick(_ string, want balancer.Request) (balancer.Choice, bool) {
 	f.picks++
 	id := []string{"i-1", "i-2", "i-3", "i-4", "i-5", "i-6"}[len(want.Tried)]
-	return balancer.Choice{Instance: balancer.Instance{ID: id, Incarnation: 7}}, true
+	return balancer.Choice{Instance: balancer.Instance{ID: id, Incarnation: 7, Address: netip.MustParseAddrPort("10.0.0.1:80")}}, true
 }
 
 func (f *fixture) TakeRetry(string) bool {
--- a/internal/relayer/limits.go
+++ b/internal/relayer/limits.go
@@ -32,10 +32,10 @@
 	return &limits{relayer: r, buckets: map[string]*limitBucket{}}
 }
 
-// ObserveLimit records what a response to a request that was sent at the given time stated about an instance's limit, in
+// ObserveLimit records what a response to a request that was sent at the given time stated about an incarnation's limit, in
 // requests per second; zero if it stated none. The leader of this VM's domain is told of a change at once.
-func (r *Relayer) ObserveLimit(instance string, rate float64, sentAt time.Time) {
-	if r.Tracker.ObserveLimit(instance, rate, sentAt) {
+func (r *Relayer) ObserveLimit(instance string, incarnation int64, rate float64, sentAt time.Time) {
+	if r.Tracker.ObserveLimit(instance, incarnation, rate, sentAt) {
 		r.wakeReport()
 	}
 }
@@ -105,14 +105,15 @@
 		return nil, errors.New("another daemon owns the limit of the instance")
 	}
 	// An owner that lost contact with a part of the fleet leaves that part its share of the limit.
-	limit := limiter.Limit{Rate: l.Rate * r.liveShare(), Burst: limiter.Tokens(limitBurst + limitBurstSeconds*l.Rate)}
+	share := r.liveShare()
+	limit := limiter.Limit{Rate: l.Rate * share, Burst: limiter.Tokens(limitBurst + limitBurstSeconds*l.Rate*share)}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := r.Clock.Now()
 	b := s.buckets[instance]
 	if b == nil {
 		s.dropUnused(now)
-		b = &limitBucket{Bucket: limiter.NewBucket(now, limit, limitBurst)}
+		b = &limitBucket{Bucket: limiter.NewBucket(now, limit, limiter.Tokens(limitBurst*share))}
 		s.buckets[instance] = b
 		r.Logger.Info("owning limit", zap.String("instance", instance), zap.Float64("rate", l.Rate))
 	}
--- a/internal/relayer/limits_test.go
+++ b/internal/relayer/limits_test.go
@@ -55,7 +55,7 @@
 	if _, ok := f.toldAt[i]; !ok {
 		f.toldAt[i] = now
 	}
-	f.relayers[i].ObserveLimit("i", f.limit, now)
+	f.relayers[i].ObserveLimit("i", 1, f.limit, now)
 }
 
 // most returns the most requests that arrived in a span.
@@ -154,10 +154,43 @@
 	}
 }
 
+// VMs that are each cut off from all others must not add up a saved token each.
+func TestInstanceLimitHoldsWhileManyVMsAreAlone(t *testing.T) {
+	const cutAt, cutEnd = 6 * time.Second, 14 * time.Second
+	for _, limit := range []float64{0.5, 1, 3, 20} {
+		for _, busyFor := range []time.Duration{time.Second, cutEnd} {
+			t.Run(fmt.Sprint(limit, "/s, busy for ", busyFor), func(t *testing.T) {
+				f := newLimitedFleet(44, limit)
+				alone := map[netip.AddrPort]bool{}
+				for i, m := range f.members {
+					alone[m.Address] = i < 15
+					f.toldAt[i] = f.clock.Now().Add(-limitTold)
+					f.relayers[i].ObserveLimit("i", 1, limit, f.clock.Now())
+				}
+				for at := time.Duration(0); at < cutEnd+6*time.Second; at += 100 * time.Millisecond {
+					cut := at >= cutAt && at < cutEnd
+					f.cut = func(from, to netip.AddrPort) bool { return cut && from != to && (alone[from] || alone[to]) }
+					f.see(alone, at >= cutAt+1500*time.Millisecond && at < cutEnd+500*time.Millisecond)
+					f.advance(100 * time.Millisecond)
+					for i := range f.relayers {
+						if at < cutEnd-busyFor && (at%time.Second != 0 || i != int(at/time.Second)) {
+							continue
+						}
+						for range 1 + int(limit/20) {
+							f.send(i)
+						}
+					}
+				}
+				require.LessOrEqual(t, float64(f.most()), 1.5*limit*limitSpan.Seconds()+5)
+			})
+		}
+	}
+}
+
 func TestLimitReachesAllVMsBeforeTheyAreTold(t *testing.T) {
 	f := newLimitedFleet(12, 5)
 	follower := slices.IndexFunc(f.relayers, func(r *relayer.Relayer) bool { return !r.IsLeader() })
-	f.relayers[follower].ObserveLimit("i", 5, f.clock.Now())
+	f.relayers[follower].ObserveLimit("i", 1, 5, f.clock.Now())
 	f.advance(50 * time.Millisecond)
 	f.advance(50 * time.Millisecond)
 	for i, tr := range f.trackers {
@@ -166,7 +199,7 @@
 		require.InDelta(t, 5, l.Rate, 0)
 	}
 	f.clock.Advance(time.Second)
-	f.relayers[follower].ObserveLimit("i", 0, f.clock.Now().Add(-100*time.Millisecond))
+	f.relayers[follower].ObserveLimit("i", 1, 0, f.clock.Now().Add(-100*time.Millisecond))
 	f.advance(50 * time.Millisecond)
 	f.advance(50 * time.Millisecond)
 	for i, tr := range f.trackers {
@@ -179,7 +212,7 @@
 func TestNoRequestIsSentToLimitedInstanceWithoutItsOwner(t *testing.T) {
 	f := newLimitedFleet(12, 5)
 	for i := range f.relayers {
-		f.relayers[i].ObserveLimit("i", 5, f.clock.Now())
+		f.relayers[i].ObserveLimit("i", 1, 5, f.clock.Now())
 	}
 	f.cut = func(netip.AddrPort, netip.AddrPort) bool { return true }
 	admitted := 0
--- a/internal/tracker/instances.go
+++ b/internal/tracker/instances.go
@@ -40,7 +40,7 @@
 	t.noteRestore(end)
 	// A later snapshot than what is known is the truth even about instances that are unknown here.
 	latest := snapshot && end >= t.end
-	changed := t.applyAll(from, es, latest, true)
+	changed := t.applyAll(from, es, latest, !snapshot)
 	if snapshot {
 		changed = t.endUnlisted(from, es, end) || changed
 	}
@@ -56,13 +56,13 @@
 // applyAll applies entries and reports whether the usable instances changed. Unless latest is set, it leaves out
 // instances that are unknown here although the records cover the registry beyond their entry: they have left. t.mu must
 // be held.
-func (t *Tracker) applyAll(from change, es []Entry, latest, own bool) bool {
+func (t *Tracker) applyAll(from change, es []Entry, latest, read bool) bool {
 	changed := false
 	for _, e := range es {
 		if t.records[e.ID] == nil && e.Offset < t.end && !latest {
 			continue
 		}
-		changed = t.apply(from, e, own) || changed
+		changed = t.apply(from, e, read) || changed
 	}
 	return changed
 }
@@ -91,11 +91,11 @@
 	return Entry{Instance: balancer.Instance{ID: id}, Condition: ConditionGone, Offset: offset}
 }
 
-// apply applies one entry and reports whether the usable instances changed. Own says that this VM read it from the
-// registry. t.mu must be held.
-func (t *Tracker) apply(from change, e Entry, own bool) bool {
+// apply applies one entry and reports whether the usable instances changed. Read says that this VM read it from the
+// changes of the registry, not from a snapshot or a peer. t.mu must be held.
+func (t *Tracker) apply(from change, e Entry, read bool) bool {
 	if e.Condition != ConditionGone {
-		return t.applyReport(from, e, own)
+		return t.applyReport(from, e, read)
 	}
 	r := t.records[e.ID]
 	if r == nil {
@@ -123,7 +123,7 @@
 
 // applyReport applies an instance's report on itself, and reports whether the usable instances changed. t.mu must be
 // held.
-func (t *Tracker) applyReport(from change, e Entry, own bool) bool {
+func (t *Tracker) applyReport(from change, e Entry, read bool) bool {
 	r := t.records[e.ID]
 	known := r != nil
 	if !known {
@@ -142,17 +142,37 @@
 	r.expiresAt, r.goneAt = time.Time{}, time.Time{}
 	unchanged := known && previous.Condition == e.Condition && previous.Address == e.Address && previous.Service == e.Service &&
 		previous.Domain == e.Domain && previous.Slots == e.Slots && previous.Incarnation == e.Incarnation
-	// The registry has each report, but a relayed one may follow others that peers of this VM know.
-	if !unchanged || !own {
+	// The registry's changes have each report, but a relayed one may follow others that peers of this VM know. So may the first
+	// one in an epoch: the copy from which the store was restored may be older than what peers know, and they refuse it.
+	if !unchanged || !read || EpochOf(e.Offset) != r.relayedEpoch {
 		t.markRecord(r)
 	}
+	if read {
+		r.relayedEpoch = EpochOf(e.Offset)
+	}
 	if unchanged {
 		return false
 	}
+	t.logReport(from, e, !known)
+	return true
+}
+
+// logReport logs a report of an instance that changed something. Those that are new at the start are not logged one by one. t.mu
+// must be held.
+func (t *Tracker) logReport(from change, e Entry, added bool) {
+	omitted := zap.Skip()
+	if added {
+		if t.entriesReadAt.IsZero() {
+			return // confirm logs their number.
+		}
+		var ok bool
+		if omitted, ok = t.startLog.instances.Allow(t.clock.Now()); !ok {
+			return
+		}
+	}
 	t.logger.Info("instance", append(from.fields(e.ID), zap.String("service", e.Service), zap.Stringer("condition", e.Condition),
 		zap.Stringer("address", e.Address), zap.String("failureDomain", e.Domain), zap.Int64("sequenceNumber", e.SequenceNumber),
-		zap.String("offset", formatOffset(e.Offset)))...)
-	return true
+		zap.String("offset", formatOffset(e.Offset)), omitted)...)
 }
 
 // endRegistration ends a registration. The instance is not used any more, or only until the end of the grace period if
@@ -235,16 +255,17 @@
 	t.notifyInstancesChange()
 }
 
-// MarkMoved records that an instance is no longer at its address.
-func (t *Tracker) MarkMoved(id string) {
+// MarkMoved records that an incarnation of an instance is not at the address where it was expected. It says nothing of another
+// incarnation, or of another address of the instance.
+func (t *Tracker) MarkMoved(i balancer.Instance) {
 	t.mu.Lock()
-	r := t.records[id]
-	changed := r != nil && r.usable()
+	r := t.records[i.ID]
+	changed := r != nil && r.usable() && r.Incarnation == i.Incarnation && r.Address == i.Address
 	if changed {
-		r.end(endedAt(id, r.Offset))
+		r.end(endedAt(i.ID, r.Offset))
 		r.goneAt, r.expiresAt, t.mayExpire = t.clock.Now(), time.Time{}, true
 		t.markRecord(r)
-		t.logger.Info("instance moved", zap.String("id", id))
+		t.logger.Info("instance moved", zap.String("id", i.ID), zap.Int64("incarnation", i.Incarnation), zap.Stringer("address", i.Address))
 	}
 	t.countChange(changed)
 	t.mu.Unlock()
@@ -395,6 +416,20 @@
 	}
 }
 
+// logInstancesKnown logs how many instances the first view has. t.mu must be held.
+func (t *Tracker) logInstancesKnown() {
+	count, usable := 0, 0
+	for _, r := range t.records {
+		if r.condition() != ConditionGone {
+			count++
+		}
+		if r.usable() && !t.leaves(r) {
+			usable++
+		}
+	}
+	t.logger.Info("instances known", zap.Int("count", count), zap.Int("usable", usable), zap.String("offset", formatOffset(t.end)))
+}
+
 // confirm records that a read of the registry which began at the given time confirmed the records. It sends pending
 // notifications first: a request may take the view for recent only when its instances are in use. t.mu must not be held.
 func (t *Tracker) confirm(readAt time.Time) {
@@ -406,6 +441,7 @@
 	}
 	if t.entriesReadAt.IsZero() {
 		t.recordChange()
+		t.logInstancesKnown()
 	}
 	t.entriesReadAt = readAt
 	if !t.unreadAt.After(readAt) {
--- a/internal/tracker/statements.go
+++ b/internal/tracker/statements.go
@@ -45,14 +45,12 @@
 	sequence, observedSequence uint64
 }
 
-// ObserveLimit records what a response of an instance stated about its limit; a rate of zero means that it stated none. The
-// request was sent at the given time, and the response was received just now. It reports whether the limit changed.
-func (t *Tracker) ObserveLimit(instance string, rate float64, sentAt time.Time) bool {
+// ObserveLimit records what a response of an incarnation of an instance stated about its limit; a rate of zero means that it
+// stated none. The request was sent at the given time, and the response was received just now. It reports whether the limit
+// changed.
+func (t *Tracker) ObserveLimit(instance string, incarnation int64, rate float64, sentAt time.Time) bool {
 	t.mu.Lock()
-	s := Statement{Instance: instance, Rate: rate, AsOf: t.clock.Now()}
-	if r := t.records[instance]; r != nil {
-		s.Incarnation = r.Incarnation
-	}
+	s := Statement{Instance: instance, Incarnation: incarnation, Rate: rate, AsOf: t.clock.Now()}
 	known := t.statements[instance]
 	// A response without a limit may be older than one with a limit that was received first.
 	if rate == 0 && (known == nil || !sentAt.After(known.AsOf)) {
@@ -101,7 +99,8 @@
 // be held.
 func (t *Tracker) applyStatement(source string, s Statement) bool {
 	known := t.statements[s.Instance]
-	if known == nil {
+	first := known == nil
+	if first {
 		known = &statementRecord{Statement: Statement{Instance: s.Instance, Incarnation: s.Incarnation}}
 		t.statements[s.Instance] = known
 	}
@@ -124,8 +123,15 @@
 	}
 	t.markStatement(known)
 	t.countChange(true)
+	omitted := zap.Skip()
+	if first && !known.Leaving {
+		var ok bool
+		if omitted, ok = t.startLog.statements.Allow(t.clock.Now()); !ok {
+			return true
+		}
+	}
 	t.logger.Info("instance stated", zap.String("id", s.Instance), zap.String("source", source), zap.Float64("rate", known.Rate),
-		zap.Float64("rateBefore", before.Rate), zap.Bool("leaving", known.Leaving), zap.Int64("incarnation", known.Incarnation))
+		zap.Float64("rateBefore", before.Rate), zap.Bool("leaving", known.Leaving), zap.Int64("incarnation", known.Incarnation), omitted)
 	return true
 }
 
