--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -228,6 +228,17 @@
 			s.strayShare = 0
 		}, s.ID
 	}},
+	{"server has few slots", false, func(f *fleet, r *rand.Rand) (func(), string) {
+		s, n := f.randomServer(r), 1+r.IntN(2)
+		setSlots := func(slots chan struct{}) {
+			s.mu.Lock()
+			s.slots = slots
+			s.mu.Unlock()
+			f.heartbeat(s)
+		}
+		setSlots(make(chan struct{}, n))
+		return func() { setSlots(nil) }, fmt.Sprint(s.ID, " ", n)
+	}},
 	{"server keeps few connections", false, func(f *fleet, r *rand.Rand) (func(), string) {
 		s, n := f.randomServer(r), 1+r.IntN(len(f.daemons))
 		share := r.Float64()
--- a/cmd/soak/fleet.go
+++ b/cmd/soak/fleet.go
@@ -41,6 +41,12 @@
 	routeAttempts = 2
 	// paymentAttempts is the same for a payment.
 	paymentAttempts = 3
+	// usualSlots are the slots that a server states, and queueLength is how many requests may wait for one of few slots.
+	usualSlots  = 8
+	queueLength = 2
+	// Requests take slowFactor times as long until slowStart after the start of a server.
+	slowStart  = 1500 * time.Millisecond
+	slowFactor = 3
 	// usualCloseShare is the share of responses after which a server closes the connection.
 	usualCloseShare = 0.02
 	// usualEarlyShare is the share of requests that a server answers before it reads their body.
@@ -142,6 +148,8 @@
 	// ended is set when the process has ended, and atWork counts the requests that it works on.
 	ended  bool
 	atWork int
+	// slots holds a value for each slot that is taken; nil if there is no bound.
+	slots chan struct{}
 	// startMs is the start time in Unix milliseconds, and heartbeats counts the heartbeats.
 	startMs    int64
 	heartbeats int64
@@ -179,7 +187,9 @@
 	servers  []*server
 	starts   int
 	endedIDs []string
-	version  int
+	// newIDs counts the IDs of servers that started again.
+	newIDs  atomic.Int64
+	version int
 	// keys are the API keys of each client account.
 	keys map[string][]string
 	// maxHeader and idleTimeout, in bytes and seconds, are limits of the configuration.
@@ -304,54 +314,102 @@
 
 // serve handles a request at a backend server with the faults that are currently injected there.
 func (f *fleet) serve(s *server, r *rand.Rand, c net.Conn, req *http.Request, in *emulator.Instance) {
-	s.mu.Lock()
-	s.atWork++
 	defer s.finishWork()
-	x, work := r.Float64(), s.extraDelay+time.Duration(r.Int64N(int64(maxWorkTime)))
-	pause, endless, headCut := r.Float64() < s.pauseShare, r.Float64() < s.endlessShare, r.Float64() < s.headCutShare
-	fail, shed, hang, cutting, copied := s.failShare, s.shedShare, s.hangShare, s.cutShare, r.Float64() < s.copyShare
-	late := time.Duration(r.Int64N(int64(maxWorkTime)))
-	stray, strayStatus := r.Float64() < s.strayShare, strayStatuses[r.IntN(len(strayStatuses))]
-	refusal := refusalStatuses[r.IntN(len(refusalStatuses))]
-	s.mu.Unlock()
+	p := s.plan(r, req)
 	id := req.Header.Get("Request-Id")
 	f.checker.recordArrival(s.name, s.service, id, time.Now())
 	ms, err := strconv.ParseInt(req.Header.Get("Deadline-Ms"), 10, 64)
 	if err != nil {
 		ms = math.MaxInt32 // The server would work for ever.
 	}
-	f.checker.recordDeadline(id, time.Duration(ms)*time.Millisecond, time.Now())
-	switch {
-	case pause:
-		f.checker.recordPause(s.name, id, time.Now())
-		emulator.Pause(statedPause)(c, req, in)
-		return
-	case x < shed && copied && late < maxWorkTime/2:
-		emulator.Late(emulator.Refuse(refusal), late)(c, req, in)
-		return
-	case x < shed:
-		emulator.Refuse(refusal)(c, req, in)
+	limit := time.Duration(ms) * time.Millisecond
+	f.checker.recordDeadline(id, limit, time.Now())
+	if p.full || !awaitSlot(p.slots, limit) {
+		emulator.Shed(c, req, in)
 		return
 	}
-	f.checker.recordRun(id, req.Header.Get("Tenant"), req.Header.Get("X-Api-Key"), s.name, s.service, time.Now())
-	time.Sleep(work)
-	switch {
-	case endless:
-		emulator.Endless("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n\r\n", "x")(c, req, in)
-	case headCut:
-		emulator.CutHead(r.IntN)(c, req, in)
-	case x < shed+fail:
-		emulator.Fail(c, req, in)
-	case x < shed+fail+hang:
-		emulator.Hang(c, req, in)
-	case x < shed+fail+hang+cutting && req.Method != http.MethodHead: // The answer to HEAD is whole without a body.
-		emulator.Truncate(c, req, in)
+	if p.slots != nil {
+		defer func() { <-p.slots }()
+	}
+	if p.pauses {
+		f.checker.recordPause(s.name, id, time.Now())
+	}
+	if !p.refuses {
+		f.checker.recordRun(id, req.Header.Get("Tenant"), req.Header.Get("X-Api-Key"), s.name, s.service, time.Now())
+		time.Sleep(p.work)
+	}
+	p.respond(c, req, in)
+}
+
+// plan is what a server does with a request. Respond responds after the work.
+type plan struct {
+	work time.Duration
+	// slots are those of the server, and full is set if too many requests wait for them.
+	slots           chan struct{}
+	full            bool
+	refuses, pauses bool
+	respond         emulator.Behavior
+}
+
+// plan counts a request as being at the server, and draws what happens to it.
+func (s *server) plan(r *rand.Rand, req *http.Request) plan {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.atWork++
+	p := plan{slots: s.slots, full: s.slots != nil && s.atWork > cap(s.slots)+queueLength}
+	x := r.Float64()
+	p.work = s.extraDelay + time.Duration(r.Int64N(int64(maxWorkTime)))
+	if time.Since(time.UnixMilli(s.startMs)) < slowStart {
+		p.work *= slowFactor
+	}
+	p.pauses = r.Float64() < s.pauseShare
+	p.refuses = p.pauses || x < s.shedShare
+	part, headPart := 1.0, r.Float64()
+	if r.IntN(4) == 0 {
+		part = r.Float64()
+	}
+	late := func(b emulator.Behavior) emulator.Behavior {
+		return emulator.LatePart(b, time.Duration(r.Int64N(int64(maxWorkTime))), func(n int) int { return int(part * float64(n)) })
+	}
+	copied := r.Float64() < s.copyShare
+	switch x -= s.shedShare; {
+	case p.pauses:
+		p.respond = emulator.Pause(statedPause)
+	case p.refuses:
+		p.respond = emulator.Refuse(refusalStatuses[r.IntN(len(refusalStatuses))])
+		if copied && r.IntN(2) == 0 {
+			p.respond = late(p.respond)
+		}
+	case r.Float64() < s.endlessShare:
+		p.respond = emulator.Endless("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n\r\n", "x")
+	case r.Float64() < s.headCutShare:
+		p.respond = emulator.CutHead(func(n int) int { return int(headPart * float64(n)) })
+	case x < s.failShare:
+		p.respond = emulator.Fail
+	case x < s.failShare+s.hangShare:
+		p.respond = emulator.Hang
+	case x < s.failShare+s.hangShare+s.cutShare && req.Method != http.MethodHead: // The answer to HEAD is whole without a body.
+		p.respond = emulator.Truncate
 	case copied:
-		emulator.Late(emulator.Answer, late)(c, req, in)
-	case stray:
-		emulator.StrayRefusal(strayStatus, emulator.Answer)(c, req, in)
+		p.respond = late(emulator.Answer)
+	case r.Float64() < s.strayShare:
+		p.respond = emulator.StrayRefusal(strayStatuses[r.IntN(len(strayStatuses))], emulator.Answer)
 	default:
-		emulator.Answer(c, req, in)
+		p.respond = emulator.Answer
+	}
+	return p
+}
+
+// awaitSlot waits until one of the slots is free, and takes it. It returns false if none is within the time limit.
+func awaitSlot(slots chan struct{}, limit time.Duration) bool {
+	if slots == nil {
+		return true
+	}
+	select {
+	case slots <- struct{}{}:
+		return true
+	case <-time.After(limit):
+		return false
 	}
 }
 
@@ -362,7 +420,7 @@
 }
 
 // refusalStatuses are the statuses with which a server refuses a request.
-var refusalStatuses = []int{http.StatusTooManyRequests, http.StatusServiceUnavailable}
+var refusalStatuses = []int{http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusBadRequest}
 
 // strayStatuses are the statuses of refusals that name no request.
 var strayStatuses = []int{http.StatusBadRequest, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
@@ -382,8 +440,12 @@
 		return
 	}
 	s.heartbeats++
+	slots := usualSlots
+	if s.slots != nil {
+		slots = cap(s.slots)
+	}
 	f.store.Register(s.ID, emulator.Heartbeat{
-		Address: s.proxy.listener.Addr().String(), Service: s.service, FailureDomain: s.domain, State: s.state, Slots: 8, SequenceNumber: s.heartbeats, StartedAtMs: s.startMs,
+		Address: s.proxy.listener.Addr().String(), Service: s.service, FailureDomain: s.domain, State: s.state, Slots: slots, SequenceNumber: s.heartbeats, StartedAtMs: s.startMs,
 	})
 }
 
--- a/cmd/standin/emulator/instance.go
+++ b/cmd/standin/emulator/instance.go
@@ -393,10 +393,15 @@
 // Late returns a behavior that responds and, after a delay, writes the same response once more on the connection, which may
 // carry another request by then. Answers and refusals name the request that they belong to.
 func Late(b Behavior, delay time.Duration) Behavior {
+	return LatePart(b, delay, func(n int) int { return n })
+}
+
+// LatePart is Late with only the beginning of the copy, whose length the function picks.
+func LatePart(b Behavior, delay time.Duration, pick func(n int) int) Behavior {
 	return func(c net.Conn, r *http.Request, i *Instance) {
 		k := &copiedConn{Conn: c}
 		b(k, r, i)
-		time.AfterFunc(delay, func() { _, _ = c.Write(k.written) })
+		time.AfterFunc(delay, func() { _, _ = c.Write(k.written[:pick(len(k.written))]) })
 	}
 }
 
