--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -37,7 +37,7 @@
 	// maxConcurrentFaults and maxConcurrentStarts are the maximum numbers of faults, and of starts of servers beside them, that are
 	// active at the same time.
 	maxConcurrentFaults = 3
-	maxConcurrentStarts = 2
+	maxConcurrentStarts = 3
 )
 
 func noop() {}
--- a/cmd/soak/starts.go
+++ b/cmd/soak/starts.go
@@ -25,26 +25,10 @@
 	maxStartPause   = 800 * time.Millisecond
 )
 
-// serverStarts are the faults in which backend servers end and start again. They are injected beside the others.
+// serverStarts are the faults in which backend servers end and start again. They are injected beside the others. Most starts have
+// another ID.
 var serverStarts = []fault{
-	{"server starts again under another ID", false, func(f *fleet, r *rand.Rand) (func(), string) {
-		s := f.randomServer(r)
-		if r.IntN(2) == 0 {
-			s = f.randomServerOf(serviceVault, r)
-		}
-		ids := s.ID
-		for range 1 + r.IntN(maxStartsInARow) {
-			next := f.startAgain(s, f.nextID(), s.service, r)
-			if next == nil {
-				break
-			}
-			next.refuse(r)
-			s = next
-			ids += ", " + s.ID
-			time.Sleep(time.Duration(r.Int64N(int64(maxStartPause))))
-		}
-		return s.refuseNoMore, ids
-	}},
+	startsUnderAnotherID, startsUnderAnotherID, startsUnderAnotherID,
 	{"server's address goes to another service", false, func(f *fleet, r *rand.Rand) (func(), string) {
 		from, to := serviceLedger, serviceArchive
 		if r.IntN(2) == 0 {
@@ -72,6 +56,25 @@
 	}},
 }
 
+var startsUnderAnotherID = fault{"server starts again under another ID", false, func(f *fleet, r *rand.Rand) (func(), string) {
+	s := f.randomServer(r)
+	if r.IntN(3) > 0 {
+		s = f.randomServerOf(serviceVault, r)
+	}
+	ids := s.ID
+	for range 1 + r.IntN(maxStartsInARow) {
+		next := f.startAgain(s, f.nextID(), s.service, r)
+		if next == nil {
+			break
+		}
+		next.refuse(r)
+		s = next
+		ids += ", " + s.ID
+		time.Sleep(time.Duration(r.Int64N(int64(maxStartPause))))
+	}
+	return s.refuseNoMore, ids
+}}
+
 // refuse lets a server refuse a random share of its requests, and copy a random share of its refusals.
 func (s *server) refuse(r *rand.Rand) {
 	s.mu.Lock()
