Keep the soak's HTTP client from sending a HEAD twice

Go's client sends a HEAD again when its connection ends without an answer, under the same request ID, while each attempt of a caller has an ID of its own.

--- a/cmd/soak/callers.go
+++ b/cmd/soak/callers.go
@@ -253,6 +253,9 @@
 		return answer{}, err
 	}
 	req.ContentLength = int64(len(body))
+	if method == http.MethodHead {
+		req.Body, req.GetBody = io.NopCloser(src), nil // Otherwise the client sends it again after some errors, under the same ID.
+	}
 	if len(body)%2 == 1 {
 		req.ContentLength = -1 // The body is sent in chunks.
 	}
