Count requests refused with 421 as arrivals in the soak

The rule on repeats counts arrivals that an instance rejects, too. The checker did not see requests that the stand-in refused because they name another instance, so a request sent again after a 421 was no repeat to it.

--- a/cmd/soak/checker_test.go
+++ b/cmd/soak/checker_test.go
@@ -122,6 +122,13 @@
 			c.arriveLater("i", 51, start)
 			c.arriveLater("i", 50, at(repeatWindow))
 		}},
+		{guaranteeRepeats, func(c *checker) {
+			c.recordMisdirected("ledger", "safe", start)
+			c.arriveLater("i", 51, start)
+		}, func(c *checker) {
+			c.recordMisdirected("ledger", "safe", start)
+			c.arriveLater("i", 50, start)
+		}},
 		{guaranteeAllowed, func(c *checker) { c.recordAnswer("safe", answer{status: 401}, "p") }, func(c *checker) {
 			c.recordWithdrawal("a", start)
 			c.recordAnswer("safe", answer{status: 401}, "p")
--- a/cmd/soak/fleet.go
+++ b/cmd/soak/fleet.go
@@ -295,6 +295,9 @@
 	in.SetCopies(func() bool { return s.chance(r, &s.refusalCopyShare) })
 	in.SetCloses(func() bool { return s.chance(r, &s.closeShare) })
 	in.SetEarly(func() bool { return s.chance(r, &s.earlyShare) })
+	in.SetMisdirectedObserver(func(req *http.Request) {
+		f.checker.recordMisdirected(s.service, req.Header.Get("Request-Id"), time.Now())
+	})
 	in.SetBodyObserver(func(req *http.Request, body []byte, whole bool) {
 		f.checker.recordBody(req.Header.Get("Request-Id"), s.name, body, whole)
 	})
--- a/cmd/soak/statements.go
+++ b/cmd/soak/statements.go
@@ -47,6 +47,22 @@
 	}
 }
 
+// recordMisdirected records that a request arrived at a backend server that refused it because it was meant for another one.
+func (c *checker) recordMisdirected(service, id string, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r := c.requests[id]; r != nil {
+		c.countArrival(r, service, at)
+	}
+}
+
+// countArrival counts the arrival of a request at a service, which is a repeat unless it is the first. c.mu must be held.
+func (c *checker) countArrival(r *request, service string, at time.Time) {
+	if r.arrivals++; r.arrivals > 1 {
+		c.repeats[service] = append(c.repeats[service], at)
+	}
+}
+
 // checkStatements checks that a request may arrive at a backend server after what that stated. A suspension of the daemon
 // excuses it. c.mu must be held.
 func (c *checker) checkStatements(server, service, id string, at time.Time) {
@@ -54,9 +70,7 @@
 	if r == nil {
 		return
 	}
-	if r.arrivals++; r.arrivals > 1 {
-		c.repeats[service] = append(c.repeats[service], at)
-	}
+	c.countArrival(r, service, at)
 	s := c.statements[hop{r.process, server}]
 	if s == nil {
 		return
--- a/cmd/standin/emulator/instance.go
+++ b/cmd/standin/emulator/instance.go
@@ -45,6 +45,8 @@
 	early func() bool
 	// observeBody is called with the body of each request, or the part of it that came; nil for none.
 	observeBody func(r *http.Request, body []byte, whole bool)
+	// observeMisdirected is called with each request that names another instance; nil for none.
+	observeMisdirected func(r *http.Request)
 	// idleTimeout is how long a connection may be idle; zero if for ever.
 	idleTimeout time.Duration
 }
@@ -127,6 +129,13 @@
 	i.observeBody = observe
 }
 
+// SetMisdirectedObserver sets a function that is called with each request that is refused because it names another instance.
+func (i *Instance) SetMisdirectedObserver(observe func(r *http.Request)) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.observeMisdirected = observe
+}
+
 // respondsEarly reports whether the instance responds to a request before it reads the body.
 func (i *Instance) respondsEarly(r *http.Request) bool {
 	i.mu.Lock()
@@ -242,12 +251,17 @@
 func (i *Instance) serveRequest(c *instanceConn, req *http.Request, body string) {
 	id := req.Header.Get("Request-Id")
 	c.writeCopy(id)
+	i.mu.Lock()
+	b, observe := i.behavior, i.observeMisdirected
+	i.mu.Unlock()
 	if e := req.Header.Get("Expected-Instance"); e != "" && e != i.ID {
+		if observe != nil {
+			observe(req)
+		}
 		writeRefusal(c, i, id, fmt.Sprintf("HTTP/1.1 421 Misdirected Request\r\nRequest-Id: %s\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", id, i.ID))
 		return
 	}
 	i.mu.Lock()
-	b := i.behavior
 	i.runs = append(i.runs, Request{
 		ID: id, Method: req.Method, Target: req.RequestURI, Account: req.Header.Get("Tenant"),
 		Key: req.Header.Get("X-Api-Key"), Deadline: req.Header.Get("Deadline-Ms"), Body: body,
