Take back the retry budget that earns more and keeps less

A VM that has just started earned a ninth of what it earned of the slack before, so the first request that meets a failing instance was not sent again: TestIdempotentRequestsAreRetried failed in the first run of all tests (502, expected 200) and in 3 of 3 repeats of five. What may be earned in a long spell of failures is still to be found, with the start in mind.

--- a/internal/picker/budget.go
+++ b/internal/picker/budget.go
@@ -21,10 +21,10 @@
 // The parts of the ratio and of the slack that are earned, and up to which retries are kept. Each pair adds up to less than
 // one; the rest is for requests that are counted in another window than their retries.
 const (
-	earnedRatioShare = 0.7
-	keptRatioShare   = 0.25
-	earnedSlackShare = 0.05
-	keptSlackShare   = 0.9
+	earnedRatioShare = 0.45
+	keptRatioShare   = 0.5
+	earnedSlackShare = 0.45
+	keptSlackShare   = 0.5
 )
 
 // NewBudget returns the budget of one of n VMs whose process started at the given time: a ratio of the requests in a span,
