--- a/internal/forwarder/connection.go
+++ b/internal/forwarder/connection.go
@@ -11,7 +11,7 @@
 	Local netip.AddrPort
 	// Carried is the number of requests that it had carried before.
 	Carried int
-	// Repeated is set if the request was among these, by its ID.
+	// Repeated is set if the request was among these, by its ID; Send prevents that.
 	Repeated bool
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -137,8 +137,9 @@
 func (f *Forwarder) Stats() (opened int64, idle int) { return f.pool.stats() }
 
 // Send sends a request and returns the response, which must be closed. MaxIdle is how long a kept connection may have
-// been idle to be reused; zero opens a new one. No connection carries two requests with the same ID. When the context ends, Send closes the connection, which cancels the request at
-// the instance; the returned error is then also marked with the context's error.
+// been idle to be reused; zero opens a new one. No connection carries two requests with the same ID. When the context ends, Send
+// closes the connection, which cancels the request at the instance; the returned error is then also marked with the context's
+// error.
 func (f *Forwarder) Send(ctx context.Context, addr netip.AddrPort, r Request, maxIdle time.Duration) (Response, error) {
 	key := f.requestKey(r.ID)
 	c, err := f.connect(ctx, addr, key, maxIdle)
