--- a/internal/runner/frontend_test.go
+++ b/internal/runner/frontend_test.go
@@ -29,8 +29,16 @@
 }
 
 func newTestFrontend(t *testing.T, h http.Handler) *testFrontend {
+	return newTestFrontendOn(t, listen(t), h)
+}
+
+func listen(t *testing.T) net.Listener {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
+	return l
+}
+
+func newTestFrontendOn(t *testing.T, l net.Listener, h http.Handler) *testFrontend {
 	f := &testFrontend{t: t}
 	f.setLimits(func(*router.Limits) {})
 	f.frontend = newFrontend(l, h, func() router.Limits { return *f.limits.Load() })
