Tell all VMs how each service is used

Each VM sees too few requests of a service to know how short of room it is, and the reports between VMs held loads and outcomes of instances only: no demand by level of urgency, no rate of refusals, nothing by failure domain.

pkg/aggregator counts what a VM sees of each service over the last second (offered, admitted and rejected by level, sends, refused, ended, unserved) and sums it up by failure domain. Exchanges carry it: a VM's report replaces its last one at its leader, the sum of a domain that of the same domain, and all expire after 2 s. The picker keeps the sums (SetUsage, FleetUsage); the receiver counts into them. Older daemons ignore the fields.

--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -54,6 +54,7 @@
 	latencies       map[string]time.Duration
 	// peerInFlight is what SetPeerInFlight was called with last.
 	peerInFlight map[string]int
+	usage        *usage
 }
 
 type service struct {
@@ -65,7 +66,7 @@
 func New(o Options) *Picker {
 	return &Picker{
 		Options: o, started: o.Clock.Now(), services: map[string]*service{}, instanceService: map[string]*service{},
-		addresses: map[netip.AddrPort]bool{}, latencies: map[string]time.Duration{},
+		addresses: map[netip.AddrPort]bool{}, latencies: map[string]time.Duration{}, usage: newUsage(o.Clock),
 	}
 }
 
@@ -197,6 +198,7 @@
 		s.balancer.Done(p.Clock.Now(), c, o, relative)
 	}
 	p.mu.Unlock()
+	p.countSend(c.Service, o)
 	p.reporter.Observe(c.ID, o, relative)
 }
 
--- a/internal/receiver/exchange.go
+++ b/internal/receiver/exchange.go
@@ -20,6 +20,7 @@
 	"github.com/jacinthproxy/jacinthproxy/internal/logger"
 	"github.com/jacinthproxy/jacinthproxy/internal/relayer"
 	"github.com/jacinthproxy/jacinthproxy/internal/router"
+	"github.com/jacinthproxy/jacinthproxy/pkg/aggregator"
 )
 
 // exchange is one request of a caller and the state of serving it.
@@ -47,7 +48,10 @@
 	configurationVersion int64
 	configurationAge     time.Duration
 	admission            relayer.Admission
-	tried                []string
+	// offered is set once the request counts as offered to its service, with its level of urgency.
+	offered bool
+	level   int
+	tried   []string
 	// outcomes are those of the attempts at the instances in tried, outcomePending for those in flight.
 	outcomes []string
 	// responses are those that were received, to be closed when the request is over.
@@ -140,6 +144,9 @@
 		}, false
 	}
 	x.Picker.CountRequest(x.service)
+	x.offered = true
+	x.level = aggregator.Level(x.route.EffectivePriority(x.account))
+	x.Picker.CountOffered(x.service, x.level)
 	return result{}, true
 }
 
@@ -305,6 +312,9 @@
 		name = x.route.Name
 	}
 	x.Observer.Observe(name, res.reason, res.status, took)
+	if x.offered && res.reason != ReasonCanceled {
+		x.Picker.CountEnded(x.service, res.reason == ReasonAnswered && res.status < http.StatusInternalServerError)
+	}
 	if res.reason != ReasonAnswered || len(x.tried) > 1 || res.status >= http.StatusInternalServerError {
 		x.logRequest(res, name, took)
 	} else if x.answerLog.AllowN(x.Clock.Now(), 1) {
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -126,6 +126,12 @@
 type Picker interface {
 	// CountRequest counts a caller's request for a service; the retry budget is proportional to these.
 	CountRequest(service string)
+	// CountOffered counts a caller's request of a level for a service at its arrival.
+	CountOffered(service string, level int)
+	// CountAdmitted counts a request by whether it may be sent to an instance.
+	CountAdmitted(service string, level int, admitted bool)
+	// CountEnded counts a request that ended by whether it was served.
+	CountEnded(service string, served bool)
 	// Pick chooses an instance and counts the request as in flight there until Done; false if there is none.
 	Pick(service string, r balancer.Request) (balancer.Choice, bool)
 	// Release ends a choice of Pick for which no request was sent. The instance is not picked again for the given time.
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -138,6 +138,9 @@
 	return f.admitted
 }
 func (f *fixture) CountRequest(string)                                 {}
+func (f *fixture) CountOffered(string, int)                            {}
+func (f *fixture) CountAdmitted(string, int, bool)                     {}
+func (f *fixture) CountEnded(string, bool)                             {}
 func (f *fixture) MarkOverdue(balancer.Choice)                         {}
 func (f *fixture) Observe(string, receiver.Reason, int, time.Duration) {}
 
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -48,10 +48,14 @@
 	if m.LoadsKnown {
 		m.Loads = encodeLoads(r.InstanceStats.InFlight())
 	}
+	sentUsage := r.addUsage(m, k.usageSentAt)
 	b, err := r.sendExchange(ctx, to.Address, m)
 	if err != nil {
 		return err
 	}
+	if sentUsage {
+		k.usageSentAt = began
+	}
 	r.clearSuspicion(to.Address)
 	if m.LoadsKnown {
 		k.loadsSentAt = began
@@ -152,6 +156,7 @@
 	}
 	r.mu.Unlock()
 	r.applyReports(from.Address, b)
+	r.receiveDomainUsage(sent, b)
 }
 
 // applyReports processes what a peer reports about the instances.
@@ -233,6 +238,7 @@
 	if !m.GetLeader() && m.GetLoadsKnown() {
 		r.peerLoads.set(from.Address, loadReport{decodeLoads(m.GetLoads()), began, false})
 	}
+	r.receiveUsage(from.Address, m)
 	r.distribute(from.Address, false, m.GetSeen())
 	r.Tracker.MergeStatements(from.Address.String(), fromStatements(began, began, m.GetStatements()))
 	sequence := m.GetSequence()
@@ -266,6 +272,7 @@
 		r.reportedInstances = len(rep.Loads)
 		r.mu.Unlock()
 	}
+	r.addDomainUsage(rep, b, m.GetLeader())
 	rep.Live, rep.LiveFleet = r.liveCounts()
 	return rep
 }
--- a/internal/relayer/fetch_test.go
+++ b/internal/relayer/fetch_test.go
@@ -16,6 +16,7 @@
 	"github.com/jacinthproxy/jacinthproxy/internal/messenger/wire"
 	"github.com/jacinthproxy/jacinthproxy/internal/router"
 	"github.com/jacinthproxy/jacinthproxy/internal/tracker"
+	"github.com/jacinthproxy/jacinthproxy/pkg/aggregator"
 	"github.com/jacinthproxy/jacinthproxy/pkg/balancer"
 	"github.com/jacinthproxy/jacinthproxy/pkg/placer"
 )
@@ -48,6 +49,9 @@
 func (idleInstances) SetPeerInFlight(map[string]int) {}
 func (idleInstances) InFlight() map[string]int       { return nil }
 
+func (idleInstances) Usage() map[string]aggregator.Counts  { return nil }
+func (idleInstances) SetUsage(map[string]aggregator.Fleet) {}
+
 func routes(version int64, n int) router.Configuration {
 	c := router.Configuration{Version: version}
 	for i := range n {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -80,6 +80,7 @@
 	reportedInstances int
 	// peerLoads are the numbers of requests that peers have in flight at the instances.
 	peerLoads *loads
+	usage     *usage
 	reportCh  chan struct{}
 	cursors   map[netip.AddrPort]cursor
 	// domainsLive is the number of live VMs in each of the other failure domains, as their leaders reported it.
@@ -102,7 +103,9 @@
 	usedAt time.Time
 	// repliedAt is when the peer was last sent a reply, and loadsSentAt when the last one with a full report.
 	repliedAt, loadsSentAt time.Time
-	wake                   chan struct{}
+	// usageSentAt is when the peer was last sent the usage of the services.
+	usageSentAt time.Time
+	wake        chan struct{}
 }
 
 // cursor is the position up to which this VM has the changes of a peer.
@@ -111,6 +114,8 @@
 	sequence    uint64
 	// loadsSentAt is when this VM's loads were last sent to the peer.
 	loadsSentAt time.Time
+	// usageSentAt is when this VM's usage was last sent to the peer.
+	usageSentAt time.Time
 	// statementsSequence is the tracker's sequence number up to which the peer has the statements that this VM observed.
 	statementsSequence uint64
 }
@@ -119,7 +124,7 @@
 func New(o Options) *Relayer {
 	r := &Relayer{
 		Options: o, startedAt: o.Clock.Now(), suspects: map[netip.AddrPort]time.Time{}, staleLeaders: map[netip.AddrPort]time.Time{}, lastExchange: map[netip.AddrPort]time.Time{}, outgoing: outbox{},
-		outboxes: map[netip.AddrPort]*peerOutbox{}, peerLoads: newLoads(), reportCh: make(chan struct{}, 1),
+		outboxes: map[netip.AddrPort]*peerOutbox{}, peerLoads: newLoads(), usage: newUsage(), reportCh: make(chan struct{}, 1),
 		cursors: map[netip.AddrPort]cursor{}, domainsLive: map[string]liveCount{},
 		reads: map[string]float64{}, decisions: map[string]float64{}, limitDecisions: map[string]float64{},
 	}
@@ -159,7 +164,7 @@
 	r.starting.Store(true)
 	r.updateSelf()
 	loops := []func(context.Context){r.announce, r.readConfiguration, r.readRegistrations, r.readPeers, r.followLeader, r.runLeader, r.sendReports, r.fetchConfigurations,
-		r.reportGrants}
+		r.reportGrants, r.updateUsage}
 	var g sync.WaitGroup
 	for _, l := range loops {
 		g.Go(func() { l(ctx) })
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -20,6 +20,7 @@
 	"github.com/jacinthproxy/jacinthproxy/internal/relayer"
 	"github.com/jacinthproxy/jacinthproxy/internal/router"
 	"github.com/jacinthproxy/jacinthproxy/internal/tracker"
+	"github.com/jacinthproxy/jacinthproxy/pkg/aggregator"
 	"github.com/jacinthproxy/jacinthproxy/pkg/placer"
 )
 
@@ -62,6 +63,8 @@
 func (discardStats) ApplyReports([]relayer.InstanceReport) {}
 func (discardStats) SetPeerInFlight(map[string]int)        {}
 func (discardStats) InFlight() map[string]int              { return nil }
+func (discardStats) Usage() map[string]aggregator.Counts   { return nil }
+func (discardStats) SetUsage(map[string]aggregator.Fleet)  {}
 
 type fleet struct {
 	*network
--- a/internal/relayer/source.go
+++ b/internal/relayer/source.go
@@ -6,6 +6,7 @@
 
 	"github.com/jacinthproxy/jacinthproxy/internal/router"
 	"github.com/jacinthproxy/jacinthproxy/internal/tracker"
+	"github.com/jacinthproxy/jacinthproxy/pkg/aggregator"
 )
 
 // Position is a position in what the store publishes. The zero Position is before the first record.
@@ -47,4 +48,8 @@
 	// InFlight returns the number of requests that this VM has in flight at each instance; those without any may be
 	// missing.
 	InFlight() map[string]int
+	// Usage returns what this VM saw of each service within the last second.
+	Usage() map[string]aggregator.Counts
+	// SetUsage sets what all VMs together saw of each service.
+	SetUsage(fleets map[string]aggregator.Fleet)
 }
