Decide which requests get the room and the retries that there are

When a service has too little room, requests were sent first come, first served, and the priorities of routes and accounts had no effect.

pkg/admitter decides both, without a network. An Admitter lets levels in by what the instances of the whole fleet take: it acts only while they refuse a tenth of the sends and nine tenths of their slots are in use, shares a level's room among accounts by their rates, and shuts no level or account out. Retries orders the requests that wait for a retry (level, those that may run once only, account, arrival), and refuses at once those that can get none in time. The receiver asks the first before it sends, and waits by the second instead of failing when the budget is used up; hedges leave the retries to requests that wait.

The budget earned 0.45 of the ratio even in a long spell of failures. A VM that kept little during a whole span now earns up to 0.7 of it; what was kept and what is earned still add up to 0.95, also through restarts, and where callers of VMs that saved up to half of the fleet's retries move to others (TestRetriesStayInTheirBudgetWhenCallersMoveToVMsThatSavedNone). The existing tests of the budget are as they were.

Without the part: TestUrgentRequestsAreServedWhileTheServiceIsFull and the other tests of pkg/admitter that play the load have nothing to call; TestLongSpellOfFailuresGetsMoreOfTheBudget failed with the budget as it was (0.45 of 0.65).

--- a/internal/picker/budget.go
+++ b/internal/picker/budget.go
@@ -9,28 +9,38 @@
 // Budget is one VM's share of a service's retry budget, which allows a ratio of the requests in a span plus a slack, over all
 // VMs. Retries are earned by requests and with time, and those that are not used are kept up to a bound. In any span, a VM
 // thus sends at most what it earns in it and what it kept from before. That also holds for all processes of a VM together,
-// which begin with nothing, and for a fleet whose callers move to other VMs. A Budget is not safe for concurrent use.
+// which begin with nothing, and for a fleet whose callers move to other VMs. A VM that kept little for a whole span earns
+// more, so that a long spell of failures gets more of the budget. A Budget is not safe for concurrent use.
 type Budget struct {
 	span         time.Duration
 	ratio, slack float64
 	requests     *limiter.WindowCounter
 	retries      float64
 	updatedAt    time.Time
+	// kept has the most that was kept in each part of the last span, as a share of the budget, and keptSlot the last part.
+	kept     [keptSlots]float64
+	keptSlot int64
 }
 
-// The parts of the ratio and of the slack that are earned, and up to which retries are kept. Each pair adds up to less than
-// one; the rest is for requests that are counted in another window than their retries.
+// The parts of the ratio and of the slack that are earned, and up to which retries are kept. The part that is earned and the
+// most that was kept within the span add up to less than one; the rest is for requests that are counted in another window than
+// their retries. What is earned is bounded, since the callers of VMs that kept theirs may move to one that kept little.
 const (
-	earnedRatioShare = 0.45
-	keptRatioShare   = 0.5
-	earnedSlackShare = 0.45
-	keptSlackShare   = 0.5
+	minEarnedShare = 0.45
+	maxEarnedShare = 0.7
+	maxKeptShare   = 0.5
+	usedShare      = 0.95
+	keptSlots      = 20
 )
 
 // NewBudget returns the budget of one of n VMs whose process started at the given time: a ratio of the requests in a span,
 // and the VM's part of the slack.
 func NewBudget(started time.Time, span time.Duration, ratio, slack float64, n int) *Budget {
 	b := &Budget{span: span, ratio: ratio, requests: limiter.NewWindowCounter(started, span), updatedAt: started}
+	b.keptSlot = b.slot(started)
+	for i := range b.kept {
+		b.kept[i] = maxKeptShare // An earlier process may have kept that much.
+	}
 	b.Resize(slack, n)
 	return b
 }
@@ -42,7 +52,8 @@
 func (b *Budget) CountRequest(now time.Time) {
 	b.update(now)
 	b.requests.Add(now, 1)
-	b.retries += b.ratio * earnedRatioShare
+	b.retries += b.ratio * b.earnedShare()
+	b.noteKept(now)
 }
 
 // Take takes one retry, and reports whether one was left.
@@ -61,12 +72,53 @@
 	return b.retries
 }
 
+// EarnedPerSecond returns the number of retries that are earned per second at the current rate of requests.
+func (b *Budget) EarnedPerSecond(now time.Time) float64 {
+	b.update(now)
+	return b.whole(now) * b.earnedShare() / b.span.Seconds()
+}
+
+// whole returns the budget of the span that ends at now.
+func (b *Budget) whole(now time.Time) float64 {
+	return b.ratio*float64(b.requests.Sum(now)) + b.slack
+}
+
 // update adds what was earned with time, and drops what is not kept.
 func (b *Budget) update(now time.Time) {
 	if d := now.Sub(b.updatedAt); d > 0 {
-		b.retries += b.slack * earnedSlackShare * d.Seconds() / b.span.Seconds()
+		b.retries += b.slack * b.earnedShare() * d.Seconds() / b.span.Seconds()
 		b.updatedAt = now
 	}
-	kept := b.ratio*keptRatioShare*float64(b.requests.Sum(now)) + b.slack*keptSlackShare
-	b.retries = min(b.retries, kept)
+	b.retries = min(b.retries, maxKeptShare*b.whole(now))
+	b.noteKept(now)
 }
+
+// earnedShare returns the part of the ratio and of the slack that is earned now.
+func (b *Budget) earnedShare() float64 {
+	most := 0.0
+	for _, k := range b.kept {
+		most = max(most, k)
+	}
+	return min(maxEarnedShare, max(minEarnedShare, usedShare-most))
+}
+
+// noteKept records what is kept now.
+func (b *Budget) noteKept(now time.Time) {
+	s := b.slot(now)
+	if s-b.keptSlot > keptSlots {
+		b.keptSlot = s - keptSlots
+	}
+	for b.keptSlot < s {
+		b.keptSlot++
+		b.kept[b.keptSlot%keptSlots] = 0
+	}
+	k := maxKeptShare
+	if w := b.whole(now); w > 0 {
+		k = min(k, b.retries/w)
+	}
+	n := &b.kept[b.keptSlot%keptSlots]
+	*n = max(*n, k)
+}
+
+// slot returns the number of the part of a span that a time is in. The parts that are held together span a little more than one.
+func (b *Budget) slot(t time.Time) int64 { return t.UnixNano() / int64(b.span/(keptSlots-1)) }
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -10,6 +10,7 @@
 
 	"github.com/jacinthproxy/jacinthproxy/internal/relayer"
 	"github.com/jacinthproxy/jacinthproxy/internal/router"
+	"github.com/jacinthproxy/jacinthproxy/pkg/admitter"
 	"github.com/jacinthproxy/jacinthproxy/pkg/balancer"
 )
 
@@ -55,18 +56,20 @@
 	// peerInFlight is what SetPeerInFlight was called with last.
 	peerInFlight map[string]int
 	usage        *usage
+	room         *room
 }
 
 type service struct {
 	balancer *balancer.Balancer
 	budget   *Budget
+	retries  *admitter.Retries
 }
 
 // New returns a picker without instances.
 func New(o Options) *Picker {
 	return &Picker{
 		Options: o, started: o.Clock.Now(), services: map[string]*service{}, instanceService: map[string]*service{},
-		addresses: map[netip.AddrPort]bool{}, latencies: map[string]time.Duration{}, usage: newUsage(o.Clock),
+		addresses: map[netip.AddrPort]bool{}, latencies: map[string]time.Duration{}, usage: newUsage(o.Clock), room: newRoom(admitter.New(o.Random)),
 	}
 }
 
@@ -78,6 +81,7 @@
 	if s == nil {
 		s = &service{
 			balancer: balancer.New(p.Domain, p.Random), budget: NewBudget(p.started, p.RetryWindow, p.RetryRatio, p.RetrySlack, p.VMCount()),
+			retries: admitter.NewRetries(),
 		}
 		p.services[name] = s
 	}
@@ -164,11 +168,12 @@
 	return at.Sub(now), true
 }
 
-// TakeRetry takes one retry of a service from the budget, and reports whether one was left.
+// TakeRetry takes one retry of a service from the budget, and reports whether one was left that no failed request waits for.
 func (p *Picker) TakeRetry(name string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.service(name).budget.Take(p.Clock.Now())
+	s := p.service(name)
+	return s.retries.Waiting() == 0 && s.budget.Take(p.Clock.Now())
 }
 
 // TypicalLatency returns the typical latency of a route's requests.
--- /dev/null
+++ b/internal/picker/room.go
@@ -0,0 +1,101 @@
+package picker
+
+import (
+	"maps"
+	"time"
+
+	"github.com/jacinthproxy/jacinthproxy/internal/router"
+	"github.com/jacinthproxy/jacinthproxy/pkg/admitter"
+	"github.com/jacinthproxy/jacinthproxy/pkg/aggregator"
+)
+
+// room decides which requests get the room of the services. Picker.mu guards it.
+type room struct {
+	admitter *admitter.Admitter
+	// updatedAt is when the admitter was last told of a service.
+	updatedAt map[string]time.Time
+	// turns counts the decisions on requests that asked for a retry.
+	turns map[admitter.Turn]int64
+}
+
+func newRoom(a *admitter.Admitter) *room {
+	return &room{admitter: a, updatedAt: map[string]time.Time{}, turns: map[admitter.Turn]int64{}}
+}
+
+// AdmitRequest decides whether a request for a service may be sent, given what all VMs saw of the service. Account may be nil.
+func (p *Picker) AdmitRequest(service string, level int, account *router.Account) admitter.Decision {
+	r := admitter.Request{Service: service, Level: level}
+	if account != nil {
+		r.Account, r.Rate = account.Name, account.Rate
+	}
+	counts := p.FleetUsage(service).Sum
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.Clock.Now()
+	if now.Sub(p.room.updatedAt[service]) >= admitter.UpdateInterval {
+		p.room.updatedAt[service] = now
+		if use, ok := p.service(service).balancer.Use(now); ok {
+			p.room.admitter.Update(now, service, admitter.Load{Counts: counts, Use: use})
+		}
+	}
+	return p.room.admitter.Admit(now, r)
+}
+
+// JoinRetries lets a request whose attempt failed wait for a retry. limit is when an answer is due; the time that an answer
+// usually takes is taken off. The request must leave again.
+func (p *Picker) JoinRetries(service string, r *router.Route, t admitter.Try, limit time.Time) *admitter.Ticket {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t.StartBy = limit.Add(-p.typicalLatency(r))
+	return p.service(service).retries.Join(p.Clock.Now(), t)
+}
+
+// RetryTurn returns what a request that waits for a retry does now; one that waits asks again after wait. With
+// admitter.TurnTake, a retry has been taken.
+func (p *Picker) RetryTurn(service string, k *admitter.Ticket) (turn admitter.Turn, wait time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s, now := p.service(service), p.Clock.Now()
+	turn, wait = s.retries.Turn(now, k, s.budget.Left(now), s.budget.EarnedPerSecond(now))
+	if turn == admitter.TurnTake {
+		s.budget.Take(now)
+	}
+	if turn != admitter.TurnWait {
+		p.room.turns[turn]++
+	}
+	return turn, wait
+}
+
+// LeaveRetries ends the wait of a request for a retry.
+func (p *Picker) LeaveRetries(service string, k *admitter.Ticket) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.service(service).retries.Leave(k)
+}
+
+// RetryTurns returns the number of requests since the start that asked for a retry, by whether they got one.
+func (p *Picker) RetryTurns() map[string]float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return map[string]float64{"taken": float64(p.room.turns[admitter.TurnTake]), "refused": float64(p.room.turns[admitter.TurnRefuse])}
+}
+
+// LevelShares returns the shares of the requests that are let in, by level, of each service that is short of room.
+func (p *Picker) LevelShares() map[string][aggregator.Levels]float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return maps.Clone(p.room.admitter.Shares())
+}
+
+// Uses returns the share of the slots in use, by service.
+func (p *Picker) Uses() map[string]float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	us := make(map[string]float64, len(p.services))
+	for n, s := range p.services {
+		if u, ok := s.balancer.Use(p.Clock.Now()); ok {
+			us[n] = u
+		}
+	}
+	return us
+}
--- a/internal/receiver/choose.go
+++ b/internal/receiver/choose.go
@@ -14,9 +14,10 @@
 	if res, ok = r.checkBeliefs(ctx); !ok {
 		return c, res, false
 	}
-	if r.sent > 0 && !r.Picker.TakeRetry(r.service) {
-		r.detail = "the budget of retries is used up"
-		return c, r.giveUp(), false
+	if r.sent > 0 {
+		if res, ok = r.takeRetry(ctx); !ok {
+			return c, res, false
+		}
 	}
 	// A hedge must not take the place of another request at an instance with a limit.
 	want := balancer.Request{Idempotent: r.route.Idempotent, Tried: r.tried, AvoidLimited: len(r.inFlight) > 0}
--- a/internal/receiver/exchange.go
+++ b/internal/receiver/exchange.go
@@ -146,8 +146,7 @@
 	x.Picker.CountRequest(x.service)
 	x.offered = true
 	x.level = aggregator.Level(x.route.EffectivePriority(x.account))
-	x.Picker.CountOffered(x.service, x.level)
-	return result{}, true
+	return x.checkRoom()
 }
 
 // requestTarget returns the path and query exactly as the caller sent them.
--- a/internal/receiver/reason.go
+++ b/internal/receiver/reason.go
@@ -32,6 +32,8 @@
 	ReasonLimited
 	// ReasonShed means that instances refused the request and no retry was left; none ran it.
 	ReasonShed
+	// ReasonNoRoom means that the service was short of room and other requests went first; no instance got it.
+	ReasonNoRoom
 	// ReasonBroken means that an instance may have run the request but returned no complete, genuine response.
 	ReasonBroken
 	// ReasonTimeout means that the deadline passed after the request was sent to an instance.
@@ -43,7 +45,7 @@
 // notRun reports whether the reason implies that no instance ran the request.
 func (i Reason) notRun() bool {
 	switch i {
-	case ReasonNoConfiguration, ReasonStale, ReasonStopping, ReasonOverRate, ReasonNoInstance, ReasonLimited, ReasonShed, ReasonNoRoute, ReasonUnknownKey,
+	case ReasonNoConfiguration, ReasonStale, ReasonStopping, ReasonOverRate, ReasonNoInstance, ReasonLimited, ReasonShed, ReasonNoRoom, ReasonNoRoute, ReasonUnknownKey,
 		ReasonBadBody, ReasonTooLarge:
 		return true
 	case ReasonAnswered, ReasonBroken, ReasonTimeout, ReasonCanceled:
--- a/internal/receiver/reason_enumer.go
+++ b/internal/receiver/reason_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "answeredno-configurationno-routeunknown-keystalestoppingover-ratebad-bodytoo-largeno-instancelimitedshedbrokentimeoutcanceled"
+const _ReasonName = "answeredno-configurationno-routeunknown-keystalestoppingover-ratebad-bodytoo-largeno-instancelimitedshedno-roombrokentimeoutcanceled"
 
-var _ReasonIndex = [...]uint8{0, 8, 24, 32, 43, 48, 56, 65, 73, 82, 93, 100, 104, 110, 117, 125}
+var _ReasonIndex = [...]uint8{0, 8, 24, 32, 43, 48, 56, 65, 73, 82, 93, 100, 104, 111, 117, 124, 132}
 
-const _ReasonLowerName = "answeredno-configurationno-routeunknown-keystalestoppingover-ratebad-bodytoo-largeno-instancelimitedshedbrokentimeoutcanceled"
+const _ReasonLowerName = "answeredno-configurationno-routeunknown-keystalestoppingover-ratebad-bodytoo-largeno-instancelimitedshedno-roombrokentimeoutcanceled"
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_ReasonIndex)-1) {
@@ -36,12 +36,13 @@
 	_ = x[ReasonNoInstance-(9)]
 	_ = x[ReasonLimited-(10)]
 	_ = x[ReasonShed-(11)]
-	_ = x[ReasonBroken-(12)]
-	_ = x[ReasonTimeout-(13)]
-	_ = x[ReasonCanceled-(14)]
+	_ = x[ReasonNoRoom-(12)]
+	_ = x[ReasonBroken-(13)]
+	_ = x[ReasonTimeout-(14)]
+	_ = x[ReasonCanceled-(15)]
 }
 
-var _ReasonValues = []Reason{ReasonAnswered, ReasonNoConfiguration, ReasonNoRoute, ReasonUnknownKey, ReasonStale, ReasonStopping, ReasonOverRate, ReasonBadBody, ReasonTooLarge, ReasonNoInstance, ReasonLimited, ReasonShed, ReasonBroken, ReasonTimeout, ReasonCanceled}
+var _ReasonValues = []Reason{ReasonAnswered, ReasonNoConfiguration, ReasonNoRoute, ReasonUnknownKey, ReasonStale, ReasonStopping, ReasonOverRate, ReasonBadBody, ReasonTooLarge, ReasonNoInstance, ReasonLimited, ReasonShed, ReasonNoRoom, ReasonBroken, ReasonTimeout, ReasonCanceled}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:8]:     ReasonAnswered,
@@ -56,9 +57,10 @@
 	_ReasonName[82:93]:   ReasonNoInstance,
 	_ReasonName[93:100]:  ReasonLimited,
 	_ReasonName[100:104]: ReasonShed,
-	_ReasonName[104:110]: ReasonBroken,
-	_ReasonName[110:117]: ReasonTimeout,
-	_ReasonName[117:125]: ReasonCanceled,
+	_ReasonName[104:111]: ReasonNoRoom,
+	_ReasonName[111:117]: ReasonBroken,
+	_ReasonName[117:124]: ReasonTimeout,
+	_ReasonName[124:132]: ReasonCanceled,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -74,9 +76,10 @@
 	_ReasonLowerName[82:93]:   ReasonNoInstance,
 	_ReasonLowerName[93:100]:  ReasonLimited,
 	_ReasonLowerName[100:104]: ReasonShed,
-	_ReasonLowerName[104:110]: ReasonBroken,
-	_ReasonLowerName[110:117]: ReasonTimeout,
-	_ReasonLowerName[117:125]: ReasonCanceled,
+	_ReasonLowerName[104:111]: ReasonNoRoom,
+	_ReasonLowerName[111:117]: ReasonBroken,
+	_ReasonLowerName[117:124]: ReasonTimeout,
+	_ReasonLowerName[124:132]: ReasonCanceled,
 }
 
 var _ReasonNames = []string{
@@ -92,9 +95,10 @@
 	_ReasonName[82:93],
 	_ReasonName[93:100],
 	_ReasonName[100:104],
-	_ReasonName[104:110],
-	_ReasonName[110:117],
-	_ReasonName[117:125],
+	_ReasonName[104:111],
+	_ReasonName[111:117],
+	_ReasonName[117:124],
+	_ReasonName[124:132],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -16,6 +16,7 @@
 	"github.com/jacinthproxy/jacinthproxy/internal/logger"
 	"github.com/jacinthproxy/jacinthproxy/internal/relayer"
 	"github.com/jacinthproxy/jacinthproxy/internal/router"
+	"github.com/jacinthproxy/jacinthproxy/pkg/admitter"
 	"github.com/jacinthproxy/jacinthproxy/pkg/balancer"
 )
 
@@ -141,6 +142,13 @@
 	// NextAvailable returns the time until an instance of a service that is not available now may be picked for a request;
 	// ok is false if there is none.
 	NextAvailable(service string, r balancer.Request) (wait time.Duration, ok bool)
+	// AdmitRequest decides whether a request may be sent while its service is short of room. Account may be nil.
+	AdmitRequest(service string, level int, account *router.Account) admitter.Decision
+	// JoinRetries lets a request whose attempt failed wait for a retry until LeaveRetries; limit is when an answer is due.
+	JoinRetries(service string, r *router.Route, t admitter.Try, limit time.Time) *admitter.Ticket
+	LeaveRetries(service string, k *admitter.Ticket)
+	// RetryTurn returns what a waiting request does now; one that waits asks again after wait.
+	RetryTurn(service string, k *admitter.Ticket) (turn admitter.Turn, wait time.Duration)
 	// TakeRetry takes one retry from the budget of a service; false if the budget is exhausted.
 	TakeRetry(service string) bool
 	// Done records the outcome of a request at an instance and how long it took.
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -22,6 +22,7 @@
 	"github.com/jacinthproxy/jacinthproxy/internal/receiver"
 	"github.com/jacinthproxy/jacinthproxy/internal/relayer"
 	"github.com/jacinthproxy/jacinthproxy/internal/router"
+	"github.com/jacinthproxy/jacinthproxy/pkg/admitter"
 	"github.com/jacinthproxy/jacinthproxy/pkg/balancer"
 )
 
@@ -63,8 +64,11 @@
 	// waited is the longest wait that a request asked for, and tableAfterWait the configuration that WaitUntilKnown sets.
 	waited         time.Duration
 	tableAfterWait *router.Table
-	receiver       *receiver.Receiver
-	logs           *observer.ObservedLogs
+	// noRoom says that the service is short of room, and retryWaits how often a request that asks for a retry must wait.
+	noRoom     bool
+	retryWaits int
+	receiver   *receiver.Receiver
+	logs       *observer.ObservedLogs
 }
 
 func newFixture() *fixture {
@@ -137,10 +141,27 @@
 func (f *fixture) Admit(context.Context, *router.Account) relayer.Admission {
 	return f.admitted
 }
-func (f *fixture) CountRequest(string)                                 {}
-func (f *fixture) CountOffered(string, int)                            {}
-func (f *fixture) CountAdmitted(string, int, bool)                     {}
-func (f *fixture) CountEnded(string, bool)                             {}
+func (f *fixture) CountRequest(string)             {}
+func (f *fixture) CountOffered(string, int)        {}
+func (f *fixture) CountAdmitted(string, int, bool) {}
+func (f *fixture) CountEnded(string, bool)         {}
+func (f *fixture) AdmitRequest(string, int, *router.Account) admitter.Decision {
+	return admitter.Decision{Admitted: !f.noRoom, RetryAfter: time.Second}
+}
+func (f *fixture) JoinRetries(string, *router.Route, admitter.Try, time.Time) *admitter.Ticket {
+	return nil
+}
+func (f *fixture) LeaveRetries(string, *admitter.Ticket) {}
+func (f *fixture) RetryTurn(string, *admitter.Ticket) (admitter.Turn, time.Duration) {
+	if f.retryWaits > 0 {
+		f.retryWaits--
+		return admitter.TurnWait, 20 * time.Millisecond
+	}
+	if f.TakeRetry("") {
+		return admitter.TurnTake, 0
+	}
+	return admitter.TurnRefuse, 0
+}
 func (f *fixture) MarkOverdue(balancer.Choice)                         {}
 func (f *fixture) Observe(string, receiver.Reason, int, time.Duration) {}
 
