Show operators how full a service is and who is refused

Nothing told an operator whether a service is short of room or of retries, nor which levels and accounts pay for it. Metrics give the use of slots, the share of refused sends, the share of each level that is let in and the requests refused by service and level; every 5 s a line names, for up to 8 services with refusals, use, demand by level, what is let in, and the accounts with the most refusals.

TestSummaryTellsWhoIsRefusedWhileAServiceIsFull has the counts; there was no such line before.

--- a/internal/picker/room.go
+++ b/internal/picker/room.go
@@ -1,12 +1,10 @@
 package picker
 
 import (
-	"maps"
 	"time"
 
 	"github.com/jacinthproxy/jacinthproxy/internal/router"
 	"github.com/jacinthproxy/jacinthproxy/pkg/admitter"
-	"github.com/jacinthproxy/jacinthproxy/pkg/aggregator"
 )
 
 // room decides which requests get the room of the services. Picker.mu guards it.
@@ -16,10 +14,22 @@
 	updatedAt map[string]time.Time
 	// turns counts the decisions on requests that asked for a retry.
 	turns map[admitter.Turn]int64
+	// refused counts the requests that were refused for want of room or of a retry.
+	refused map[serviceLevel]int64
+	// unserved has the counts since the last summary, by service.
+	unserved map[string]*unserved
+}
+
+type serviceLevel struct {
+	service string
+	level   int
 }
 
 func newRoom(a *admitter.Admitter) *room {
-	return &room{admitter: a, updatedAt: map[string]time.Time{}, turns: map[admitter.Turn]int64{}}
+	return &room{
+		admitter: a, updatedAt: map[string]time.Time{}, turns: map[admitter.Turn]int64{},
+		refused: map[serviceLevel]int64{}, unserved: map[string]*unserved{},
+	}
 }
 
 // AdmitRequest decides whether a request for a service may be sent, given what all VMs saw of the service. Account may be nil.
@@ -38,7 +48,13 @@
 			p.room.admitter.Update(now, service, admitter.Load{Counts: counts, Use: use})
 		}
 	}
-	return p.room.admitter.Admit(now, r)
+	d := p.room.admitter.Admit(now, r)
+	if !d.Admitted {
+		u := p.room.unservedAt(service)
+		u.count(&u.noRoom, level, r.Account)
+		p.room.refused[serviceLevel{service, level}]++
+	}
+	return d
 }
 
 // JoinRetries lets a request whose attempt failed wait for a retry. limit is when an answer is due; the time that an answer
@@ -60,9 +76,16 @@
 	if turn == admitter.TurnTake {
 		s.budget.Take(now)
 	}
-	if turn != admitter.TurnWait {
-		p.room.turns[turn]++
+	switch turn {
+	case admitter.TurnWait:
+		return turn, wait
+	case admitter.TurnRefuse:
+		u := p.room.unservedAt(service)
+		u.count(&u.noRetry, k.Level, k.Account)
+		p.room.refused[serviceLevel{service, k.Level}]++
+	case admitter.TurnTake:
 	}
+	p.room.turns[turn]++
 	return turn, wait
 }
 
@@ -72,30 +95,3 @@
 	defer p.mu.Unlock()
 	p.service(service).retries.Leave(k)
 }
-
-// RetryTurns returns the number of requests since the start that asked for a retry, by whether they got one.
-func (p *Picker) RetryTurns() map[string]float64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return map[string]float64{"taken": float64(p.room.turns[admitter.TurnTake]), "refused": float64(p.room.turns[admitter.TurnRefuse])}
-}
-
-// LevelShares returns the shares of the requests that are let in, by level, of each service that is short of room.
-func (p *Picker) LevelShares() map[string][aggregator.Levels]float64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return maps.Clone(p.room.admitter.Shares())
-}
-
-// Uses returns the share of the slots in use, by service.
-func (p *Picker) Uses() map[string]float64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	us := make(map[string]float64, len(p.services))
-	for n, s := range p.services {
-		if u, ok := s.balancer.Use(p.Clock.Now()); ok {
-			us[n] = u
-		}
-	}
-	return us
-}
--- a/internal/runner/operators.go
+++ b/internal/runner/operators.go
@@ -95,10 +95,15 @@
 		"skipped_responses": single("Responses of instances since the start that belonged to no request in flight on their connection.", func() float64 {
 			return float64(r.receiver.SkippedResponses())
 		}),
-		"store_reads":     {"Reads of the store since the start, by what was read and the result.", "read", r.relayer.StoreReads},
-		"limit_decisions": {"Requests since the start to instances with a limit, by the decision of the limit's owner.", "decision", r.relayer.LimitDecisions},
-		"rate_decisions":  {"Requests since the start whose rate was decided, by where and how.", "decision", r.relayer.RateDecisions},
-		"owned_rates":     single("Client accounts whose rate this VM holds.", r.relayer.OwnedRates),
-		"retries_left":    {"Retries that this VM's share of the budget has, by service.", "service", r.picker.RetriesLeft},
+		"store_reads":            {"Reads of the store since the start, by what was read and the result.", "read", r.relayer.StoreReads},
+		"limit_decisions":        {"Requests since the start to instances with a limit, by the decision of the limit's owner.", "decision", r.relayer.LimitDecisions},
+		"rate_decisions":         {"Requests since the start whose rate was decided, by where and how.", "decision", r.relayer.RateDecisions},
+		"owned_rates":            single("Client accounts whose rate this VM holds.", r.relayer.OwnedRates),
+		"service_use":            {"Share of the slots of a service in use by all VMs; above 1 while instances queue requests.", "service", r.picker.Uses},
+		"service_refused_share":  {"Share of the sends of all VMs to a service that full instances refused in the last second.", "service", r.picker.RefusedShares},
+		"level_let_in_share":     {"Share of the requests that is let in while a service is short of room, by service and level.", "service_level", r.picker.LevelShares},
+		"level_refused_requests": {"Requests since the start that this VM refused for want of room or of a retry, by service and level.", "service_level", r.picker.RefusedRequests},
+		"retry_turns":            {"Failed requests since the start that asked for a retry, by whether they got one.", "turn", r.picker.RetryTurns},
+		"retries_left":           {"Retries that this VM's share of the budget has, by service.", "service", r.picker.RetriesLeft},
 	}
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -269,4 +269,10 @@
 	r.Logger.Info("summary", zap.String("requests", r.metrics.formatRequestCounts()), zap.Duration("configurationAge", table),
 		zap.Duration("instancesAge", entries), zap.Int64("connectionsOpened", opened), zap.Int("connectionsKept", idle),
 		zap.Int64("attemptLinesOmitted", r.receiver.OmittedLines()), zap.Int64("startLinesOmitted", r.tracker.OmittedLines()))
+	for _, s := range r.picker.Summaries() {
+		r.Logger.Info("service short of room or retries", zap.String("service", s.Service), zap.Float64("use", s.Use),
+			zap.Float64("refusedShare", s.RefusedShare), zap.Float64("unservedShare", s.UnservedShare), zap.String("offered", s.Offered),
+			zap.String("letIn", s.LetIn), zap.String("noRoom", s.NoRoom), zap.String("noRetry", s.NoRetry), zap.String("accounts", s.Accounts),
+			zap.Float64("retriesLeft", s.Retries))
+	}
 }
--- a/pkg/admitter/retries.go
+++ b/pkg/admitter/retries.go
@@ -38,7 +38,7 @@
 
 // Ticket is the place of a waiting request.
 type Ticket struct {
-	try      Try
+	Try
 	granted  float64
 	joinedAt time.Time
 }
@@ -63,7 +63,7 @@
 // Join adds a request, which is to leave again.
 func (q *Retries) Join(now time.Time, t Try) *Ticket {
 	q.joined[t.Level].count(now)
-	k := &Ticket{try: t, joinedAt: now}
+	k := &Ticket{Try: t, joinedAt: now}
 	if g := q.granted[t.Account]; g != nil {
 		k.granted = g.at(now)
 	}
@@ -77,12 +77,12 @@
 
 func compareTickets(a, b *Ticket) int {
 	once := func(t *Ticket) int {
-		if t.try.Once {
+		if t.Once {
 			return 0
 		}
 		return 1
 	}
-	return cmp.Or(cmp.Compare(a.try.Level, b.try.Level), cmp.Compare(once(a), once(b)), cmp.Compare(a.granted, b.granted), a.joinedAt.Compare(b.joinedAt))
+	return cmp.Or(cmp.Compare(a.Level, b.Level), cmp.Compare(once(a), once(b)), cmp.Compare(a.granted, b.granted), a.joinedAt.Compare(b.joinedAt))
 }
 
 // Leave removes a request.
@@ -95,17 +95,17 @@
 func (q *Retries) Turn(now time.Time, k *Ticket, left, earned float64) (turn Turn, wait time.Duration) {
 	ahead := float64(slices.Index(q.waiting, k))
 	if left >= ahead+1 {
-		q.grant(now, k.try.Account)
+		q.grant(now, k.Account)
 		return TurnTake, 0
 	}
-	for l := range k.try.Level {
+	for l := range k.Level {
 		earned -= q.joined[l].at(now)
 	}
 	if earned <= 0 {
 		return TurnRefuse, 0
 	}
 	wait = time.Duration((ahead + 1 - left) / earned * float64(time.Second))
-	if now.Add(wait).After(k.try.StartBy) {
+	if now.Add(wait).After(k.StartBy) {
 		return TurnRefuse, 0
 	}
 	return TurnWait, min(wait, maxPoll)
