--- a/pkg/admitter/retries.go
+++ b/pkg/admitter/retries.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -52,6 +53,8 @@
 	// joined are the rates at which requests join, by level, and granted those at which accounts get retries.
 	joined  [aggregator.Levels]rate
 	granted map[string]*rate
+	// sweptAt is when accounts without retries were last forgotten.
+	sweptAt time.Time
 }
 
 // NewRetries returns a queue without requests.
@@ -112,10 +115,9 @@
 }
 
 func (q *Retries) grant(now time.Time, account string) {
-	for a, g := range q.granted {
-		if g.at(now) < forgottenRate {
-			delete(q.granted, a)
-		}
+	if now.Sub(q.sweptAt) >= rateAge {
+		q.sweptAt = now
+		maps.DeleteFunc(q.granted, func(_ string, g *rate) bool { return g.at(now) < forgottenRate })
 	}
 	g := q.granted[account]
 	if g == nil {
