Run no request of a connection that a stop has closed

The stop marks a connection that it closes, under the lock that also guards its phase, and the handler drops a request whose connection is marked.

--- a/internal/runner/connection.go
+++ b/internal/runner/connection.go
@@ -55,6 +55,8 @@
 	headBytes int
 	// rejected is set once a head was too long.
 	rejected bool
+	// ended is set once a stop has closed the connection while it was idle.
+	ended bool
 }
 
 func newCallerConn(c net.Conn, limits func() router.Limits) *callerConn {
@@ -154,6 +156,23 @@
 	}
 }
 
+// closeIdle closes the connection for good if it is idle. A request that was received and is not counted yet must not run.
+func (c *callerConn) closeIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == phaseIdle {
+		c.ended = true
+		_ = c.Close()
+	}
+}
+
+// hasEnded reports whether a stop has closed the connection.
+func (c *callerConn) hasEnded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ended
+}
+
 func (c *callerConn) currentPhase() phase {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/runner/frontend.go
+++ b/internal/runner/frontend.go
@@ -34,7 +34,7 @@
 func newFrontend(l net.Listener, h http.Handler, limits func() router.Limits) *frontend {
 	f := &frontend{Listener: l, limits: limits, conns: map[*callerConn]struct{}{}, applied: limits()}
 	f.server = http.Server{ //nolint:gosec // The connections bound the time of a head.
-		Handler: h, ConnState: f.setState,
+		Handler: skipEnded(h), ConnState: f.setState, ConnContext: withConn,
 		MaxHeaderBytes: math.MaxInt32, // The connections enforce the limits.
 		// net/http would log connections that callers abort; the receiver logs requests.
 		ErrorLog: log.New(io.Discard, "", 0),
@@ -64,6 +64,23 @@
 	return c, nil
 }
 
+// connKey is the key of a connection in the context of its requests.
+type connKey struct{}
+
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// skipEnded drops requests whose connection a stop closed before they were counted: nobody would get their answers.
+func skipEnded(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connKey{}).(*callerConn); ok && c.hasEnded() {
+			panic(http.ErrAbortHandler)
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 // setState is called by the server when the state of a connection changes.
 func (f *frontend) setState(nc net.Conn, s http.ConnState) {
 	c, ok := nc.(*callerConn)
@@ -77,11 +94,10 @@
 	case http.StateIdle:
 		f.mu.Lock()
 		defer f.mu.Unlock()
+		c.setPhase(phaseIdle)
 		if f.stopping {
-			_ = c.Close()
-			return
+			c.closeIdle()
 		}
-		c.setPhase(phaseIdle)
 	case http.StateHijacked, http.StateClosed:
 		f.mu.Lock()
 		defer f.mu.Unlock()
@@ -110,9 +126,7 @@
 	f.mu.Lock()
 	f.stopping = true
 	for c := range f.conns {
-		if c.currentPhase() == phaseIdle {
-			_ = c.Close()
-		}
+		c.closeIdle()
 	}
 	f.mu.Unlock()
 	tick := time.NewTicker(stopPollInterval)
--- a/internal/runner/stop_test.go
+++ b/internal/runner/stop_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/jacinthproxy/jacinthproxy/internal/router"
 )
 
 // heldListener holds what its connections received in one read until release is closed.
@@ -103,6 +105,48 @@
 	require.True(t, status == http.StatusNoContent || int(ran.Load()) == read-1, "the request ran and has no answer")
 }
 
+// A request that was sent ahead is in net/http's buffer while its connection is idle for a moment.
+func TestStopRunsNoRequestSentAheadOnAConnectionThatItCloses(t *testing.T) {
+	began, finish := make(chan struct{}), make(chan struct{})
+	idle, release := make(chan struct{}), make(chan struct{})
+	var ran atomic.Int32
+	limits := router.DefaultLimits()
+	f := newFrontend(listen(t), http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			close(began)
+			<-finish
+		} else {
+			ran.Add(1)
+		}
+	}), func() router.Limits { return limits })
+	f.server.ConnState = func(c net.Conn, s http.ConnState) {
+		f.setState(c, s)
+		if s == http.StateIdle && ran.Load() == 1 {
+			close(idle)
+			<-release
+		}
+	}
+	tf := &testFrontend{frontend: f, t: t}
+	go func() { _ = f.Run() }()
+	other, c := tf.dial(), tf.dial()
+	_, err := io.WriteString(other, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n")
+	require.NoError(t, err)
+	<-began
+	_, err = io.WriteString(c, getRequest+getRequest)
+	require.NoError(t, err)
+	<-idle
+	stopped := make(chan error, 1)
+	go func() { stopped <- f.Stop(context.Background()) }()
+	tf.awaitStopping()
+	close(release)
+	require.Equal(t, http.StatusOK, c.readStatus())
+	require.Zero(t, c.readStatus())
+	close(finish)
+	require.NoError(t, <-stopped)
+	tf.awaitConns(0)
+	require.EqualValues(t, 1, ran.Load())
+}
+
 // awaitIdle waits until all connections are idle.
 func (f *testFrontend) awaitIdle() {
 	require.Eventually(f.t, func() bool {
