Keep requests from drained failure domains and limit those to cold instances

Cause: nothing read the operator's records evacuate/ZONE, and the time that an instance warms up changed only a cost; its service's rate for that time was not read at all.

Change: the records that drain a failure domain, ordered by offset and epoch, are read with the configuration and travel with the exchanges before the configuration that covers them; an instance of a drained domain is not usable, for first sends, hedges, retries and trials alike. What a daemon without the field says of the configuration's age is not taken. After a restore of the store a known drain holds until the operator had the time to write it again.

An instance that warms up, and whose service has a warm-up rate, is an instance with a limit: the owner of its limit counts for all VMs. What is known of a warm-up travels with the exchanges and with the question to the owner.

--- a/internal/relayer/constants.go
+++ b/internal/relayer/constants.go
@@ -114,6 +114,8 @@
 	// starts with the VM's share of limitBurst: many VMs that are each cut off would add up a token each.
 	limitBurst        = 1
 	limitBurstSeconds = 0.25
+	// warmupBurstSeconds replaces limitBurstSeconds while an instance warms up: its limit holds for each second.
+	warmupBurstSeconds = 0.1
 	// limitOwnerBackoff is how long an instance is skipped whose limit's owner did not answer.
 	limitOwnerBackoff = 300 * time.Millisecond
 	// maxLimitDelay bounds the time after which an owner is asked again: the limit may have ended.
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -41,6 +41,7 @@
 	if !leader {
 		observed, n := r.Tracker.ObservedStatements(k.statementsSequence)
 		statementsSequence, m.Statements = n, toStatements(r.Clock.Now(), observed)
+		m.Warmups = toWarmups(r.Clock.Now(), r.Tracker.ObservedWarmups(k.statementsSequence))
 	}
 	began := r.Clock.Now()
 	m.LoadsKnown = !leader && began.Sub(k.loadsSentAt) >= fullReportInterval
@@ -106,6 +107,7 @@
 // that the peer held the reply, because the reply may have waited here unread.
 func (r *Relayer) applyBeliefs(from placer.VM, leader bool, began time.Time, k cursor, b *wire.Beliefs) {
 	now := r.Clock.Now()
+	r.Tracker.MergeDrains(from.Address.String(), fromDrains(b.GetDrains()))
 	if c := b.GetConfiguration(); len(c) > 0 {
 		var conf router.Configuration
 		if err := json.Unmarshal(c, &conf); err != nil {
@@ -130,6 +132,7 @@
 	}
 	r.Tracker.MergeInstances(from.Address, instances)
 	r.Tracker.MergeStatements(from.Address.String(), fromStatements(now, sent, b.GetStatements()))
+	r.Tracker.MergeWarmups(from.Address.String(), fromWarmups(now, b.GetWarmups()))
 	r.applyVersion(from.Address, b, sent)
 	for _, m := range b.GetMembers() {
 		vm, err := messenger.FromVM(m.GetVm())
@@ -235,6 +238,7 @@
 	}
 	r.distribute(from.Address, false, m.GetSeen())
 	r.Tracker.MergeStatements(from.Address.String(), fromStatements(began, began, m.GetStatements()))
+	r.Tracker.MergeWarmups(from.Address.String(), fromWarmups(began, m.GetWarmups()))
 	sequence := m.GetSequence()
 	if m.GetIncarnation() != r.Self.Incarnation {
 		sequence = 0
@@ -350,7 +354,8 @@
 			Vm: messenger.ToVM(m.VM), Role: uint32(m.Role), Capacity: m.Capacity, AgeMs: ageMs(now, m.AsOf),
 		})
 	}
-	rep.Statements = toStatements(now, c.Statements)
+	rep.Statements, rep.Warmups = toStatements(now, c.Statements), toWarmups(now, c.Warmups)
+	rep.Drains, rep.DrainsKnown = toDrains(c.Drains), true
 	return rep
 }
 
--- a/internal/relayer/limits.go
+++ b/internal/relayer/limits.go
@@ -43,11 +43,11 @@
 // AdmitSend decides whether a request may be sent to an instance now. If the instance has a limit, the limit's owner
 // decides. Without its decision the request is not admitted: a limit that several VMs count for themselves is exceeded.
 func (r *Relayer) AdmitSend(ctx context.Context, instance string) Admission {
-	l, domain, ok := r.Tracker.Limit(instance)
+	l, ok := r.Tracker.SendLimit(instance)
 	if !ok {
 		return Admission{Admitted: true}
 	}
-	o, ok := r.placement().limitOwner(instance, domain)
+	o, ok := r.placement().limitOwner(instance, l.Domain)
 	if !ok {
 		return Admission{RetryAfter: limitOwnerBackoff}
 	}
@@ -57,7 +57,7 @@
 		t, err = r.limits.grant(instance)
 	} else {
 		t, err = r.takeFromOwner(ctx, o, &wire.Request{Body: &wire.Request_TakeSend{
-			TakeSend: &wire.TakeSend{Limit: toStatement(r.Clock.Now(), l)},
+			TakeSend: toTakeSend(r.Clock.Now(), instance, l),
 		}})
 	}
 	if err != nil {
@@ -87,7 +87,13 @@
 
 // handleTakeSend decides on a request of a peer to an instance whose limit this VM owns. The peer may know a later limit.
 func (r *Relayer) handleTakeSend(from placer.VM, m *wire.TakeSend) (*wire.Taken, error) {
-	r.Tracker.MergeStatements(from.Address.String(), []tracker.Statement{fromStatement(r.Clock.Now(), m.GetLimit())})
+	now := r.Clock.Now()
+	if m.GetLimit().GetRate() > 0 {
+		r.Tracker.MergeStatements(from.Address.String(), []tracker.Statement{fromStatement(now, m.GetLimit())})
+	}
+	if w := m.GetWarmup(); w != nil {
+		r.Tracker.MergeWarmups(from.Address.String(), fromWarmups(now, []*wire.Warmup{w}))
+	}
 	return r.limits.grant(m.GetLimit().GetInstance())
 }
 
@@ -97,16 +103,16 @@
 	if err := r.checkOwner(); err != nil {
 		return nil, err
 	}
-	l, domain, ok := r.Tracker.Limit(instance)
+	l, ok := r.Tracker.SendLimit(instance)
 	if !ok {
 		return &wire.Taken{Tokens: 1}, nil
 	}
-	if o, ok := r.placement().limitOwner(instance, domain); !ok || o.Address != r.Self.Address {
+	if o, ok := r.placement().limitOwner(instance, l.Domain); !ok || o.Address != r.Self.Address {
 		return nil, errors.New("another daemon owns the limit of the instance")
 	}
 	// An owner that lost contact with a part of the fleet leaves that part its share of the limit.
 	share := r.liveShare()
-	limit := limiter.Limit{Rate: l.Rate * share, Burst: limiter.Tokens(limitBurst + limitBurstSeconds*l.Rate*share)}
+	limit := limiter.Limit{Rate: l.Rate * share, Burst: limiter.Tokens(limitBurst + burstSeconds(l)*l.Rate*share)}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := r.Clock.Now()
@@ -115,7 +121,7 @@
 		s.dropUnused(now)
 		b = &limitBucket{Bucket: limiter.NewBucket(now, limit, limiter.Tokens(limitBurst*share))}
 		s.buckets[instance] = b
-		r.Logger.Info("owning limit", zap.String("instance", instance), zap.Float64("rate", l.Rate))
+		r.Logger.Info("owning limit", zap.String("instance", instance), zap.Float64("rate", l.Rate), zap.Bool("warmingUp", l.WarmingUp))
 	}
 	b.usedAt = now
 	b.SetLimit(now, limit)
@@ -127,14 +133,22 @@
 	return &wire.Taken{NextMs: uint32(min(next, maxLimitDelay).Milliseconds() + 1)}, nil
 }
 
+// burstSeconds returns for how long tokens of a limit accrue.
+func burstSeconds(l tracker.SendLimit) float64 {
+	if l.WarmingUp {
+		return warmupBurstSeconds
+	}
+	return limitBurstSeconds
+}
+
 // place empties the buckets of limits that this VM does not own: another owner may grant what accrues.
 func (s *limits) place(p *placement) {
 	now := s.relayer.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for i, b := range s.buckets {
-		_, domain, _ := s.relayer.Tracker.Limit(i)
-		o, ok := p.limitOwner(i, domain)
+		l, _ := s.relayer.Tracker.SendLimit(i)
+		o, ok := p.limitOwner(i, l.Domain)
 		owned := ok && o.Address == p.self.Address
 		if !owned || b.lost {
 			b.Take(now, b.Level(now), nil)
--- a/internal/relayer/loops.go
+++ b/internal/relayer/loops.go
@@ -291,6 +291,7 @@
 func (r *Relayer) readConfiguration(ctx context.Context) {
 	var after Position
 	var found configurationReads
+	var drains drainReads
 	r.poll(ctx, poller{
 		name: "configuration", relayed: true, wait: configurationPollWait, responsible: r.readsForFleet, stale: configurationStaleness,
 		age: func() (time.Duration, bool) {
@@ -301,17 +302,22 @@
 			began := r.Clock.Now()
 			if version, end := r.Tracker.TableEnd(); end > tracker.Offset(after.Epoch, after.Offset) {
 				after = found.learn(version, end) // A peer has read more.
+				drains.learn(r.Tracker.DrainedDomains())
 			}
 			got, err := r.Source.Configurations(ctx, after, found.wait(began, wait))
 			if err != nil {
 				return err
 			}
+			// A configuration in force implies that the drains are known.
+			r.Tracker.ApplyDrains(got.Drains)
 			for _, c := range got.Items {
 				r.applyTable(router.New(c), content{})
 			}
 			after = got.Next
 			found.add(began, got)
+			drains.add(got.Drains, got.Snapshot)
 			if found.current(began) {
+				r.Tracker.ApplyDrainSnapshot(drains.names(), tracker.Offset(after.Epoch, after.Offset))
 				r.Tracker.MarkTableFresh(found.newest, began, tracker.Offset(after.Epoch, after.Offset))
 				found.confirmed = true
 			}
--- a/internal/relayer/source.go
+++ b/internal/relayer/source.go
@@ -23,6 +23,8 @@
 	// Snapshot says that the items are a snapshot of the newest values, not the changes after the position.
 	Snapshot bool
 	Next     Position
+	// Drains are the drains among the operator's records, in order.
+	Drains []tracker.Drain
 }
 
 // Source is the platform's store. Its methods fail once the store makes no progress for StoreTimeout.
--- a/internal/relayer/transfer.go
+++ b/internal/relayer/transfer.go
@@ -342,7 +342,9 @@
 	if version == 0 && table != nil {
 		version = table.Version // A daemon without the field does not tell.
 	}
-	r.Tracker.MarkTableFresh(version, sent.Add(-time.Duration(b.GetConfigurationAgeMs())*time.Millisecond), b.GetConfigurationEnd())
+	if b.GetDrainsKnown() { // Else this VM reads the drains itself once its configuration is stale.
+		r.Tracker.MarkTableFresh(version, sent.Add(-time.Duration(b.GetConfigurationAgeMs())*time.Millisecond), b.GetConfigurationEnd())
+	}
 	if table == nil || table.Version < version {
 		r.wantConfiguration(from)
 	}
--- a/internal/router/configuration.go
+++ b/internal/router/configuration.go
@@ -46,6 +46,10 @@
 	HealthPath string `json:"healthPath"`
 	// MaxConnections is how many connections one instance accepts from all callers together.
 	MaxConnections int `json:"maxConnections"`
+	// WarmupRate is how many requests a second, from all VMs together, an instance takes while it warms up; zero if that is not
+	// limited. Warmup is how long an instance warms up after its start.
+	WarmupRate float64       `json:"warmupRate,omitempty"`
+	Warmup     time.Duration `json:"warmup,omitempty"`
 }
 
 // Account is a client account with its keys and its limit.
--- a/internal/runner/operators.go
+++ b/internal/runner/operators.go
@@ -24,6 +24,7 @@
 	Version          int64                           `json:"version"`
 	ConfigurationAge time.Duration                   `json:"configurationAgeNs"`
 	InstancesAge     time.Duration                   `json:"instancesAgeNs"`
+	DrainedDomains   []string                        `json:"drainedDomains"`
 	Members          []tracker.Member                `json:"members"`
 	Instances        []tracker.Entry                 `json:"instances"`
 	Judgements       map[string][]balancer.Judgement `json:"judgements"`
@@ -35,7 +36,7 @@
 	s := state{
 		VM: r.Settings.Name, Role: r.relayer.Role(), Leads: r.relayer.IsLeader(), Members: r.tracker.Members(),
 		Instances: r.tracker.Entries(), Judgements: r.picker.Judgements(), RetriesLeft: r.picker.RetriesLeft(),
-		Requests: r.metrics.requestCounts(),
+		Requests: r.metrics.requestCounts(), DrainedDomains: r.tracker.DrainedDomains(),
 	}
 	s.ConfigurationAge, s.InstancesAge = r.tracker.Ages()
 	if t, _ := r.tracker.Table(); t != nil {
@@ -66,6 +67,13 @@
 			return a.Seconds()
 		}),
 		"usable_instances": single("Instances that may get requests.", func() float64 { return float64(len(r.tracker.UsableInstances())) }),
+		"drained_domains": single("Failure domains that the operator drained, as this VM knows.", func() float64 {
+			return float64(len(r.tracker.DrainedDomains()))
+		}),
+		"limited_instances": {"Usable instances with a limit, by the reason: they stated one, or they warm up.", "reason", func() map[string]float64 {
+			stated, warming := r.tracker.LimitCounts()
+			return map[string]float64{"stated": float64(stated), "warming": float64(warming)}
+		}},
 		"ready_vms": single("VMs that serve callers, as this one knows.", func() float64 {
 			n := 0
 			for _, m := range r.tracker.Members() {
--- /dev/null
+++ b/internal/tracker/drains_test.go
@@ -0,0 +1,85 @@
+package tracker_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/jacinthproxy/jacinthproxy/internal/tracker"
+)
+
+// drain returns a record of failure domain d at an offset of the first epoch.
+func drain(drained bool, offset uint64) tracker.Drain {
+	return tracker.Drain{Domain: "d", Drained: drained, Offset: tracker.Offset(1, offset)}
+}
+
+// drainable returns a tracker of the usable instance i in the failure domain d.
+func drainable() (*tracker.Tracker, *clockwork.FakeClock) {
+	tr, c := newTracker()
+	e := entry("i", 1, tracker.ConditionReady)
+	e.Domain = "d"
+	tr.ApplyRegistrations(c.Now(), []tracker.Entry{e}, true, 1)
+	return tr, c
+}
+
+func TestInstancesOfADrainedDomainAreNotUsed(t *testing.T) {
+	tr, c := drainable()
+	told := 0
+	tr.OnInstancesChange(func() { told++ })
+	tr.ApplyDrains([]tracker.Drain{drain(true, 5)})
+	require.Empty(t, tr.UsableInstances())
+	usable, _ := tr.Usable("i")
+	require.False(t, usable, "nor by a request that chose it before")
+	require.Equal(t, 1, told)
+	e := entry("j", 1, tracker.ConditionReady)
+	e.Domain = "d"
+	tr.ApplyRegistrations(c.Now(), []tracker.Entry{e}, false, 2)
+	require.Empty(t, tr.UsableInstances(), "nor one that registers meanwhile")
+	tr.ApplyDrains([]tracker.Drain{drain(false, 4)})
+	require.Equal(t, []string{"d"}, tr.DrainedDomains(), "an earlier record")
+	tr.ApplyDrains([]tracker.Drain{drain(false, 6)})
+	require.Len(t, tr.UsableInstances(), 2)
+	require.Empty(t, tr.DrainedDomains())
+}
+
+func TestDrainOfForgottenHistoryEndsWithASnapshotThatLacksIt(t *testing.T) {
+	tr, _ := drainable()
+	tr.ApplyDrains([]tracker.Drain{drain(true, 5)})
+	tr.ApplyDrainSnapshot(nil, tracker.Offset(1, 5))
+	require.Equal(t, []string{"d"}, tr.DrainedDomains(), "the record is later than the snapshot")
+	tr.ApplyDrainSnapshot([]string{"d"}, tracker.Offset(1, 9))
+	require.Equal(t, []string{"d"}, tr.DrainedDomains())
+	tr.ApplyDrainSnapshot(nil, tracker.Offset(1, 9))
+	require.Empty(t, tr.DrainedDomains())
+	tr.ApplyDrains([]tracker.Drain{drain(true, 5)})
+	require.Empty(t, tr.DrainedDomains(), "a peer that is behind")
+}
+
+func TestPeersGetDrainsAndTheirEnds(t *testing.T) {
+	a, _ := drainable()
+	b, _ := drainable()
+	a.ApplyDrains([]tracker.Drain{drain(true, 5)})
+	c, _ := a.ChangesSince(0)
+	b.MergeDrains("peer", c.Drains)
+	require.Equal(t, []string{"d"}, b.DrainedDomains())
+	a.ApplyDrains([]tracker.Drain{drain(false, 6)})
+	c, _ = a.ChangesSince(c.Sequence)
+	b.MergeDrains("peer", c.Drains)
+	require.Empty(t, b.DrainedDomains())
+	c, _ = a.ChangesSince(c.Sequence)
+	require.Empty(t, c.Drains)
+}
+
+// All VMs would take the instances for idle at once.
+func TestInstancesOfADomainThatReturnsWarmUp(t *testing.T) {
+	tr, c := drainable()
+	tr.ApplyDrains([]tracker.Drain{drain(true, 5)})
+	c.Advance(time.Minute)
+	tr.ApplyDrains([]tracker.Drain{drain(false, 6)})
+	is := tr.UsableInstances()
+	require.Len(t, is, 1)
+	require.True(t, is[0].WarmAt.After(c.Now()))
+	require.Zero(t, is[0].Limit, "they are not cold")
+}
--- a/internal/tracker/instances.go
+++ b/internal/tracker/instances.go
@@ -144,14 +144,15 @@
 		previous.Domain == e.Domain && previous.Slots == e.Slots && previous.Incarnation == e.Incarnation
 	// The registry's changes have each report, but a relayed one may follow others that peers of this VM know. So may the first
 	// one in an epoch: the copy from which the store was restored may be older than what peers know, and they refuse it.
-	if !unchanged || !read || EpochOf(e.Offset) != r.relayedEpoch {
+	warmupChanged := unchanged && t.warmupChanged(previous, e)
+	if !unchanged || warmupChanged || !read || EpochOf(e.Offset) != r.relayedEpoch {
 		t.markRecord(r)
 	}
 	if read {
 		r.relayedEpoch = EpochOf(e.Offset)
 	}
 	if unchanged {
-		return false
+		return warmupChanged
 	}
 	t.logReport(from, e, !known)
 	return true
@@ -251,6 +252,7 @@
 func (t *Tracker) Expire() {
 	t.mu.Lock()
 	t.countChange(t.expire())
+	t.countChange(t.expireWarmups())
 	t.mu.Unlock()
 	t.notifyInstancesChange()
 }
@@ -278,10 +280,8 @@
 	defer t.mu.Unlock()
 	var is []balancer.Instance
 	for _, r := range t.records {
-		if r.usable() && !t.leaves(r) {
-			i := r.Instance
-			i.Limit = t.limitRate(i.ID)
-			is = append(is, i)
+		if t.mayGetRequests(r) {
+			is = append(is, t.balanced(r))
 		}
 	}
 	return is
@@ -292,7 +292,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.records[id]
-	return r != nil && r.usable() && !t.leaves(r), t.clock.Since(t.entriesReadAt)
+	return r != nil && t.mayGetRequests(r), t.clock.Since(t.entriesReadAt)
 }
 
 // Entries returns the entries of all known instances, in no particular order.
@@ -423,7 +423,7 @@
 		if r.condition() != ConditionGone {
 			count++
 		}
-		if r.usable() && !t.leaves(r) {
+		if t.mayGetRequests(r) {
 			usable++
 		}
 	}
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -51,6 +51,13 @@
 	// nothing to do otherwise.
 	mayExpire  bool
 	statements map[string]*statementRecord
+	// drains are the operator's drains by failure domain, and returnedAt is when the drain of one ended.
+	drains     map[string]*drainRecord
+	returnedAt map[string]time.Time
+	// warmups are the warm-ups that instances stated in responses. nextWarmAt is when the next instance with a limit while it
+	// warms up will be warm; zero if there is none.
+	warmups    map[string]*warmupRecord
+	nextWarmAt time.Time
 	members    map[netip.AddrPort]*member
 	// membersKnown is set once the store's list of VMs was read.
 	membersKnown bool
@@ -76,6 +83,7 @@
 func New(clock clockwork.Clock, logger *zap.Logger) *Tracker {
 	return &Tracker{
 		clock: clock, logger: logger, startLog: newStartLog(), records: map[string]*record{}, statements: map[string]*statementRecord{}, members: map[netip.AddrPort]*member{},
+		drains: map[string]*drainRecord{}, returnedAt: map[string]time.Time{}, warmups: map[string]*warmupRecord{},
 		changed: make(chan struct{}), viewed: make(chan struct{}), onInstancesChange: func() {},
 	}
 }
@@ -156,6 +164,7 @@
 	t.tableSeq = t.recordChange()
 	t.logger.Info("configuration in force", zap.Int64("version", n.Version), zap.Int64("before", previous),
 		zap.Int("routes", len(n.Routes)), zap.Int("accounts", len(n.Accounts)))
+	t.countChange(warmupRatesDiffer(before, n))
 	return before, true
 }
 
@@ -296,6 +305,8 @@
 	End        uint64
 	Members    []Member
 	Statements []Statement
+	Drains     []Drain
+	Warmups    []Warmup
 	// TableReadAt and EntriesReadAt are the start times of the reads that confirmed the configuration and the
 	// instances; zero if there were none.
 	TableReadAt, EntriesReadAt time.Time
@@ -325,5 +336,7 @@
 		}
 	}
 	t.appendChanges(&c, sequence)
+	t.appendDrains(&c, sequence)
+	t.appendWarmups(&c, sequence)
 	return c, t.changed
 }
