Limit requests to instances that may have just started again

Cause: when a failure domain comes back, its instances are cold, but their registrations, up to 2 s old, do not say so yet. They seem idle to all VMs.

Shown: TestInstanceThatComesBackColdIsNotOverrun (1 to 103 VMs; without the change 12 and more VMs send more than the bound).

--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -161,7 +161,7 @@
 func (r *Relayer) applyReports(from netip.AddrPort, b *wire.Beliefs) {
 	hasLoads := b.GetLoadsKnown()
 	if !r.IsLeader() {
-		r.InstanceStats.ApplyReports(decodeReports(b.GetSeen()))
+		r.applySeen(b.GetSeen())
 		if hasLoads {
 			r.InstanceStats.SetPeerInFlight(decodeLoads(b.GetLoads()))
 		}
@@ -175,6 +175,13 @@
 	r.InstanceStats.SetPeerInFlight(r.inFlightExcept(r.Self.Address, true))
 }
 
+// applySeen processes the outcomes that peers observed.
+func (r *Relayer) applySeen(ms []*wire.Seen) {
+	rs := decodeReports(ms)
+	r.InstanceStats.ApplyReports(rs)
+	r.restarts.observeAll(rs)
+}
+
 // distribute adds the outcomes that one VM observed to the outboxes of the other VMs, and applies them here. Reports
 // from the leader of another domain are not sent on to other leaders.
 func (r *Relayer) distribute(from netip.AddrPort, fromLeader bool, ms []*wire.Seen) {
@@ -182,7 +189,7 @@
 		return
 	}
 	if from != r.Self.Address {
-		r.InstanceStats.ApplyReports(decodeReports(ms))
+		r.applySeen(ms)
 	}
 	hasUrgent := anyUrgent(ms)
 	r.mu.Lock()
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -48,6 +48,7 @@
 	Options
 	rates     *rates
 	limits    *limits
+	restarts  *restarts
 	transfers *transfers
 	startedAt time.Time
 	// listed is set once this VM has read the list of VMs, heardLeader once the leader of its domain has passed on what it
@@ -124,6 +125,7 @@
 		reads: map[string]float64{}, decisions: map[string]float64{}, limitDecisions: map[string]float64{},
 	}
 	r.rates, r.limits, r.transfers = newRates(r), newLimits(r), newTransfers(o.LinkSpeed)
+	r.restarts = newRestarts(o.Clock, o.Tracker)
 	return r
 }
 
@@ -286,7 +288,7 @@
 	r.mu.Lock()
 	r.outgoing.add(instance, o, relative)
 	r.mu.Unlock()
-	if urgent(o) {
+	if r.restarts.observe(instance, map[balancer.Outcome]int{o: 1}) || urgent(o) {
 		r.wakeReport()
 	}
 }
--- a/internal/relayer/warmups_test.go
+++ b/internal/relayer/warmups_test.go
@@ -32,7 +32,7 @@
 func newColdFleet(n int, rate float64) *coldFleet {
 	f := &coldFleet{fleet: newFleet(n, 1), rate: rate}
 	for _, tr := range f.trackers {
-		tr.ApplyConfiguration(router.Configuration{Version: 2, Services: []router.Service{{Name: "s", WarmupRate: rate}}})
+		tr.ApplyConfiguration(router.Configuration{Version: 2, Services: []router.Service{{Name: "s", WarmupRate: rate, Warmup: 3 * time.Second}}})
 	}
 	return f
 }
@@ -172,3 +172,35 @@
 		require.True(t, l.WarmingUp)
 	}
 }
+
+// A failure domain comes back at once, with instances that are cold though their registrations do not say so yet.
+func TestInstanceThatComesBackColdIsNotOverrun(t *testing.T) {
+	const rate = 5
+	for _, vms := range []int{1, 12, 103} {
+		t.Run(fmt.Sprint(vms, " VMs"), func(t *testing.T) {
+			f := newColdFleet(vms, rate)
+			f.report(1, 0)
+			for step := range 20 {
+				f.relayers[step%vms].Observe("i", balancer.OutcomeUnreachable, 0)
+				f.advance(100 * time.Millisecond)
+			}
+			for step := range 30 {
+				for i := range vms {
+					f.send(i)
+				}
+				if len(f.arrivedAt) > 0 && step%5 == 0 {
+					f.relayers[step%vms].Observe("i", balancer.OutcomeAnswered, 1)
+				}
+				f.advance(100 * time.Millisecond)
+			}
+			require.LessOrEqual(t, float64(f.most()), warmupOvershoot*rate+warmupSlack)
+			require.GreaterOrEqual(t, float64(len(f.arrivedAt)), 0.8*3*rate, "the instance gets what it takes")
+			f.arrivedAt = nil
+			f.clock.Advance(2 * time.Second)
+			for range 20 {
+				f.send(0)
+			}
+			require.Len(t, f.arrivedAt, 20, "it is warm again")
+		})
+	}
+}
--- a/internal/tracker/warmups.go
+++ b/internal/tracker/warmups.go
@@ -44,6 +44,29 @@
 	return changed
 }
 
+// PresumeWarmup records that an instance may have just started again, if its service has a warm-up rate, and reports whether that
+// was not known.
+func (t *Tracker) PresumeWarmup(instance string) bool {
+	t.mu.Lock()
+	w, ok := t.presumedWarmup(instance)
+	t.mu.Unlock()
+	return ok && t.ObserveWarmup(w)
+}
+
+// presumedWarmup returns the warm-up of an instance that starts now, and the time by which applyWarmup may find it not notably
+// later than a former one. t.mu must be held.
+func (t *Tracker) presumedWarmup(instance string) (w Warmup, ok bool) {
+	r := t.records[instance]
+	if r == nil {
+		return Warmup{}, false
+	}
+	s, ok := t.serviceWarmup(r.Service)
+	if !ok {
+		return Warmup{}, false
+	}
+	return Warmup{Instance: instance, Incarnation: r.Incarnation, WarmAt: t.clock.Now().Add(s.Warmup + warmupTolerance)}, true
+}
+
 // MergeWarmups merges the warm-ups that a peer knows.
 func (t *Tracker) MergeWarmups(peer string, ws []Warmup) {
 	if len(ws) == 0 {
--- a/internal/tracker/warmups_test.go
+++ b/internal/tracker/warmups_test.go
@@ -100,3 +100,17 @@
 	a.Expire()
 	require.Zero(t, rateOf(t, a))
 }
+
+func TestWarmupIsPresumedOnlyWithARate(t *testing.T) {
+	tr, c := warming()
+	require.False(t, tr.PresumeWarmup("j"), "unknown")
+	require.True(t, tr.PresumeWarmup("i"))
+	require.InDelta(t, 5, rateOf(t, tr), 0)
+	c.Advance(500 * time.Millisecond)
+	require.False(t, tr.PresumeWarmup("i"), "peers are not told of each failure")
+	c.Advance(time.Second)
+	require.True(t, tr.PresumeWarmup("i"))
+	none, c := newTracker()
+	report(none, c, 1, 1, 0)
+	require.False(t, none.PresumeWarmup("i"))
+}
