Grant no more to cold instances than the settings' bound allows

The sum of what may be added by cuts, a second owner and tokens in flight is 1.98 times the granted rate and 2 requests in a second. Where the settings bound it by less, the owner grants less: limiter.WarmupBound.

--- a/internal/relayer/limits.go
+++ b/internal/relayer/limits.go
@@ -112,7 +112,11 @@
 	}
 	// An owner that lost contact with a part of the fleet leaves that part its share of the limit.
 	share := r.liveShare()
-	limit := limiter.Limit{Rate: l.Rate * share, Burst: limiter.Tokens(limitBurst + burstSeconds(l)*l.Rate*share)}
+	rate := l.Rate * share
+	if l.WarmingUp {
+		rate = r.WarmupBound.Rate(l.Rate) * share
+	}
+	limit := limiter.Limit{Rate: rate, Burst: limiter.Tokens(limitBurst + burstSeconds(l)*rate)}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := r.Clock.Now()
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -16,6 +16,7 @@
 	"github.com/jacinthproxy/jacinthproxy/internal/messenger/wire"
 	"github.com/jacinthproxy/jacinthproxy/internal/tracker"
 	"github.com/jacinthproxy/jacinthproxy/pkg/balancer"
+	"github.com/jacinthproxy/jacinthproxy/pkg/limiter"
 	"github.com/jacinthproxy/jacinthproxy/pkg/placer"
 )
 
@@ -34,7 +35,9 @@
 	// RateWindow is the span over which the rates of accounts are enforced.
 	RateWindow time.Duration
 	// DrainTimeout is how long an instance that left may still get requests.
-	DrainTimeout  time.Duration
+	DrainTimeout time.Duration
+	// WarmupBound is what instances that warm up may get; the zero value sets no bound beyond their rate.
+	WarmupBound   limiter.WarmupBound
 	Tracker       *tracker.Tracker
 	Messenger     Messenger
 	Source        Source
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -24,6 +24,7 @@
 	"github.com/jacinthproxy/jacinthproxy/internal/relayer"
 	"github.com/jacinthproxy/jacinthproxy/internal/router"
 	"github.com/jacinthproxy/jacinthproxy/internal/tracker"
+	"github.com/jacinthproxy/jacinthproxy/pkg/limiter"
 	"github.com/jacinthproxy/jacinthproxy/pkg/placer"
 )
 
@@ -82,7 +83,8 @@
 		Address: s.Peers, CallerAddress: s.Callers, Domain: s.Domain, Incarnation: placer.NewIncarnation(o.Clock.Now()),
 	}
 	r.relayer = relayer.New(relayer.Options{
-		Self: self, Capacity: s.Capacity(), LinkSpeed: s.Link, RateWindow: s.Bounds.RateWindow, DrainTimeout: s.Bounds.DrainTimeout, Tracker: r.tracker, Source: o.Source, InstanceStats: r.picker, Clock: o.Clock, Logger: o.Logger,
+		Self: self, Capacity: s.Capacity(), LinkSpeed: s.Link, RateWindow: s.Bounds.RateWindow, DrainTimeout: s.Bounds.DrainTimeout,
+		WarmupBound: limiter.WarmupBound{Overshoot: s.Bounds.WarmupOvershoot, Slack: s.Bounds.WarmupSlack}, Tracker: r.tracker, Source: o.Source, InstanceStats: r.picker, Clock: o.Clock, Logger: o.Logger,
 	})
 	r.picker.SetReporter(r.relayer)
 	r.messenger = messenger.New(messenger.Options{
--- a/internal/runner/settings.go
+++ b/internal/runner/settings.go
@@ -53,6 +53,9 @@
 	RetryWindow            time.Duration
 	// RateWindow is the time over which the rates of client accounts are enforced.
 	RateWindow time.Duration
+	// WarmupOvershoot and WarmupSlack bound what all VMs together send to an instance that warms up: in any second, the warm-up
+	// rate of its service times WarmupOvershoot, plus WarmupSlack requests.
+	WarmupOvershoot, WarmupSlack float64
 	// MaxAddressTTL bounds how long callers may cache a list of addresses.
 	MaxAddressTTL time.Duration
 }
@@ -61,6 +64,6 @@
 func DefaultBounds() Bounds {
 	return Bounds{
 		MaxKeyAge: 5 * time.Second, DrainTimeout: 2 * time.Second, StopGracePeriod: 6 * time.Second, RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second,
-		RateWindow: 5 * time.Second, MaxAddressTTL: 5 * time.Second,
+		RateWindow: 5 * time.Second, WarmupOvershoot: 1.5, WarmupSlack: 8, MaxAddressTTL: 5 * time.Second,
 	}
 }
