--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -16,6 +16,7 @@
 	"github.com/jacinthproxy/jacinthproxy/internal/messenger/wire"
 	"github.com/jacinthproxy/jacinthproxy/internal/tracker"
 	"github.com/jacinthproxy/jacinthproxy/pkg/balancer"
+	"github.com/jacinthproxy/jacinthproxy/pkg/limiter"
 	"github.com/jacinthproxy/jacinthproxy/pkg/placer"
 )
 
@@ -34,7 +35,9 @@
 	// RateWindow is the span over which the rates of accounts are enforced.
 	RateWindow time.Duration
 	// DrainTimeout is how long an instance that left may still get requests.
-	DrainTimeout  time.Duration
+	DrainTimeout time.Duration
+	// WarmupBound is what instances that warm up may get; the zero value sets no bound beyond their rate.
+	WarmupBound   limiter.WarmupBound
 	Tracker       *tracker.Tracker
 	Messenger     Messenger
 	Source        Source
@@ -48,6 +51,7 @@
 	Options
 	rates     *rates
 	limits    *limits
+	restarts  *restarts
 	transfers *transfers
 	startedAt time.Time
 	// listed is set once this VM has read the list of VMs, heardLeader once the leader of its domain has passed on what it
@@ -129,6 +133,7 @@
 		reads: map[string]float64{}, decisions: map[string]float64{}, limitDecisions: map[string]float64{},
 	}
 	r.rates, r.limits, r.transfers = newRates(r), newLimits(r), newTransfers(o.LinkSpeed)
+	r.restarts = newRestarts(o.Clock, o.Tracker)
 	return r
 }
 
@@ -291,7 +296,7 @@
 	r.mu.Lock()
 	r.outgoing.add(instance, o, relative)
 	r.mu.Unlock()
-	if urgent(o) {
+	if r.restarts.observe(instance, map[balancer.Outcome]int{o: 1}) || urgent(o) {
 		r.wakeReport()
 	}
 }
