--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"runtime/debug"
+	"strconv"
 	"sync"
 	"time"
 
@@ -272,9 +273,15 @@
 		zap.Duration("instancesAge", entries), zap.Int64("connectionsOpened", opened), zap.Int("connectionsKept", idle),
 		zap.Int64("attemptLinesOmitted", r.receiver.OmittedLines()), zap.Int64("startLinesOmitted", r.tracker.OmittedLines()))
 	for _, s := range r.picker.Summaries() {
-		r.Logger.Info("service short of room or retries", zap.String("service", s.Service), zap.Float64("use", s.Use),
-			zap.Float64("refusedShare", s.RefusedShare), zap.Float64("unservedShare", s.UnservedShare), zap.String("offered", s.Offered),
-			zap.String("letIn", s.LetIn), zap.String("noRoom", s.NoRoom), zap.String("noRetry", s.NoRetry), zap.String("accounts", s.Accounts),
-			zap.Float64("retriesLeft", s.Retries))
+		r.logService(s)
 	}
 }
+
+// logService logs how full a service is and whom this VM refused of it.
+func (r *Runner) logService(s picker.Summary) {
+	number := func(name string, n float64) zap.Field { return zap.String(name, strconv.FormatFloat(n, 'f', 2, 64)) }
+	r.Logger.Info("service short of room or retries", zap.String("service", s.Service), number("use", s.Use),
+		number("refusedShare", s.RefusedShare), number("unservedShare", s.UnservedShare), zap.String("offered", s.Offered),
+		zap.String("letIn", s.LetIn), zap.String("noRoom", s.NoRoom), zap.String("noRetry", s.NoRetry), zap.String("accounts", s.Accounts),
+		number("retriesLeft", s.Retries))
+}
