Earn the retries that the fleet has not kept

A VM earned 0.45 of its part of the retry budget and kept up to 0.5, since VMs that kept theirs may spend it and lose their callers.

The usage of a service now carries the retries that VMs kept and their budgets. A VM earns 0.88 of its part less the most that all together kept within the last span, from 0.45 to 0.8; one that hears nothing goes by what it kept itself.

--- a/internal/picker/budget.go
+++ b/internal/picker/budget.go
@@ -17,30 +17,32 @@
 	requests     *limiter.WindowCounter
 	retries      float64
 	updatedAt    time.Time
-	// kept has the most that was kept in each part of the last span, as a share of the budget, and keptSlot the last part.
-	kept     [keptSlots]float64
-	keptSlot int64
+	// kept records what this VM kept, and fleetKept what all VMs did, which was noted last at fleetNotedAt.
+	kept, fleetKept *keptRecord
+	fleetNotedAt    time.Time
 }
 
 // The parts of the ratio and of the slack that are earned, and up to which retries are kept. The part that is earned and the
 // most that was kept within the span add up to less than one; the rest is for requests that are counted in another window than
-// their retries. What is earned is bounded, since the callers of VMs that kept theirs may move to one that kept little.
+// their retries. A VM that knows what all VMs kept goes by that. One that does not goes by what it kept itself, and earns less,
+// since callers of VMs that kept theirs may move to it.
 const (
 	minEarnedShare = 0.45
 	maxEarnedShare = 0.7
 	maxKeptShare   = 0.5
 	usedShare      = 0.95
-	keptSlots      = 20
+	// What the fleet kept is known a second late, in which it may grow by a tenth of what is earned in a span of 10 s.
+	usedFleetShare      = 0.88
+	maxFleetEarnedShare = 0.8
+	maxFleetKeptAge     = 2 * time.Second
 )
 
 // NewBudget returns the budget of one of n VMs whose process started at the given time: a ratio of the requests in a span,
 // and the VM's part of the slack.
 func NewBudget(started time.Time, span time.Duration, ratio, slack float64, n int) *Budget {
 	b := &Budget{span: span, ratio: ratio, requests: limiter.NewWindowCounter(started, span), updatedAt: started}
-	b.keptSlot = b.slot(started)
-	for i := range b.kept {
-		b.kept[i] = maxKeptShare // An earlier process may have kept that much.
-	}
+	// An earlier process may have kept as much as is allowed.
+	b.kept, b.fleetKept = newKeptRecord(started, span, maxKeptShare), newKeptRecord(started, span, maxKeptShare)
 	b.Resize(slack, n)
 	return b
 }
@@ -52,7 +54,7 @@
 func (b *Budget) CountRequest(now time.Time) {
 	b.update(now)
 	b.requests.Add(now, 1)
-	b.retries += b.ratio * b.earnedShare()
+	b.retries += b.ratio * b.earnedShare(now)
 	b.noteKept(now)
 }
 
@@ -75,7 +77,7 @@
 // EarnedPerSecond returns the number of retries that are earned per second at the current rate of requests.
 func (b *Budget) EarnedPerSecond(now time.Time) float64 {
 	b.update(now)
-	return b.whole(now) * b.earnedShare() / b.span.Seconds()
+	return b.whole(now) * b.earnedShare(now) / b.span.Seconds()
 }
 
 // whole returns the budget of the span that ends at now.
@@ -86,7 +88,7 @@
 // update adds what was earned with time, and drops what is not kept.
 func (b *Budget) update(now time.Time) {
 	if d := now.Sub(b.updatedAt); d > 0 {
-		b.retries += b.slack * b.earnedShare() * d.Seconds() / b.span.Seconds()
+		b.retries += b.slack * b.earnedShare(now) * d.Seconds() / b.span.Seconds()
 		b.updatedAt = now
 	}
 	b.retries = min(b.retries, maxKeptShare*b.whole(now))
@@ -94,31 +96,25 @@
 }
 
 // earnedShare returns the part of the ratio and of the slack that is earned now.
-func (b *Budget) earnedShare() float64 {
-	most := 0.0
-	for _, k := range b.kept {
-		most = max(most, k)
+func (b *Budget) earnedShare(now time.Time) float64 {
+	if now.Sub(b.fleetNotedAt) < maxFleetKeptAge {
+		return min(maxFleetEarnedShare, max(minEarnedShare, usedFleetShare-b.fleetKept.max()))
 	}
-	return min(maxEarnedShare, max(minEarnedShare, usedShare-most))
+	return min(maxEarnedShare, max(minEarnedShare, usedShare-b.kept.max()))
+}
+
+// NoteFleetKept records the share of the budget that all VMs together have kept.
+func (b *Budget) NoteFleetKept(now time.Time, share float64) {
+	b.update(now)
+	b.fleetKept.note(now, min(maxKeptShare, share), maxKeptShare)
+	b.fleetNotedAt = now
 }
 
-// noteKept records what is kept now.
+// noteKept records what is kept now. Nothing was added to it since it was noted last.
 func (b *Budget) noteKept(now time.Time) {
-	s := b.slot(now)
-	if s-b.keptSlot > keptSlots {
-		b.keptSlot = s - keptSlots
-	}
-	for b.keptSlot < s {
-		b.keptSlot++
-		b.kept[b.keptSlot%keptSlots] = 0
-	}
 	k := maxKeptShare
 	if w := b.whole(now); w > 0 {
 		k = min(k, b.retries/w)
 	}
-	n := &b.kept[b.keptSlot%keptSlots]
-	*n = max(*n, k)
+	b.kept.note(now, k, 0)
 }
-
-// slot returns the number of the part of a span that a time is in. The parts that are held together span a little more than one.
-func (b *Budget) slot(t time.Time) int64 { return t.UnixNano() / int64(b.span/(keptSlots-1)) }
--- a/internal/picker/usage.go
+++ b/internal/picker/usage.go
@@ -1,6 +1,7 @@
 package picker
 
 import (
+	"math"
 	"sync"
 
 	"github.com/jonboulle/clockwork"
@@ -70,15 +71,35 @@
 // Usage implements relayer.InstanceStats.
 func (p *Picker) Usage() map[string]aggregator.Counts {
 	p.usage.mu.Lock()
-	defer p.usage.mu.Unlock()
-	return p.usage.collector.Counts(p.usage.clock.Now())
+	all := p.usage.collector.Counts(p.usage.clock.Now())
+	p.usage.mu.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.Clock.Now()
+	for name, s := range p.services {
+		c, busy := all[name]
+		kept := s.budget.Left(now)
+		if !busy && kept < 1 {
+			continue
+		}
+		c.Kept, c.Budget = int64(math.Ceil(kept)), int64(math.Ceil(s.budget.whole(now)))
+		all[name] = c
+	}
+	return all
 }
 
 // SetUsage implements relayer.InstanceStats.
 func (p *Picker) SetUsage(fleets map[string]aggregator.Fleet) {
 	p.usage.mu.Lock()
-	defer p.usage.mu.Unlock()
 	p.usage.fleets = fleets
+	p.usage.mu.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, f := range fleets {
+		if f.Sum.Budget > 0 {
+			p.service(name).budget.NoteFleetKept(p.Clock.Now(), f.Sum.KeptShare())
+		}
+	}
 }
 
 // FleetUsage returns what all VMs together saw of a service within about the last second.
--- a/internal/relayer/usage.go
+++ b/internal/relayer/usage.go
@@ -14,10 +14,10 @@
 	// usageInterval is the minimum time between two reports of usage to a peer. With usageLinkShare and the reports to all
 	// peers of a leader, it is extended up to maxUsageInterval.
 	usageInterval    = 250 * time.Millisecond
-	maxUsageInterval = 750 * time.Millisecond
+	maxUsageInterval = 900 * time.Millisecond
 	usageLinkShare   = 0.05
 	// usageEntryBytes is the approximate size of a service in a report of usage, in bytes.
-	usageEntryBytes = 60
+	usageEntryBytes = 70
 	// usageTTL is the age up to which a report of usage is used. It is more than two of the longest intervals, so that a lost
 	// message takes nothing out of the sums.
 	usageTTL = 2 * time.Second
@@ -162,6 +162,7 @@
 		ms = append(ms, &wire.ServiceUsage{
 			Service: s, Offered: encodeLevels(c.Offered), Admitted: encodeLevels(c.Admitted), Rejected: encodeLevels(c.Rejected),
 			Sends: uint32(c.Sends), Refused: uint32(c.Refused), Ended: uint32(c.Ended), Unserved: uint32(c.Unserved),
+			Kept: uint32(c.Kept), Budget: uint32(c.Budget),
 		})
 	}
 	return ms
@@ -174,6 +175,7 @@
 		by[m.GetService()] = aggregator.Counts{
 			Offered: decodeLevels(m.GetOffered()), Admitted: decodeLevels(m.GetAdmitted()), Rejected: decodeLevels(m.GetRejected()),
 			Sends: int64(m.GetSends()), Refused: int64(m.GetRefused()), Ended: int64(m.GetEnded()), Unserved: int64(m.GetUnserved()),
+			Kept: int64(m.GetKept()), Budget: int64(m.GetBudget()),
 		}
 	}
 	return by
--- a/pkg/aggregator/counts.go
+++ b/pkg/aggregator/counts.go
@@ -15,6 +15,9 @@
 	Sends, Refused int64
 	// Ended counts the requests that ended, and Unserved those of them that failed or were refused for any reason.
 	Ended, Unserved int64
+	// Kept is the number of retries that the VMs have kept, and Budget how many they may send in a span of the retry budget; both
+	// are not counted but as they are now.
+	Kept, Budget int64
 }
 
 // IsZero reports whether nothing was counted.
@@ -31,6 +34,8 @@
 	c.Refused += n * o.Refused
 	c.Ended += n * o.Ended
 	c.Unserved += n * o.Unserved
+	c.Kept += n * o.Kept
+	c.Budget += n * o.Budget
 }
 
 // RefusedShare returns the share of the sends that full instances refused; zero if there were none.
@@ -39,6 +44,9 @@
 // UnservedShare returns the share of the requests that ended unserved; zero if none ended.
 func (c Counts) UnservedShare() float64 { return share(c.Unserved, c.Ended) }
 
+// KeptShare returns the share of the retry budget that the VMs have kept; zero if there is none.
+func (c Counts) KeptShare() float64 { return share(c.Kept, c.Budget) }
+
 func share(part, whole int64) float64 {
 	if whole <= 0 {
 		return 0
