--- a/internal/picker/picker_test.go
+++ b/internal/picker/picker_test.go
@@ -305,7 +305,7 @@
 		for i := range budgets {
 			start(i)
 		}
-		retries, shares := make([]int, steps), make([]float64, steps)
+		retries, shares := make([]int, steps), make([]float64, lag)
 		for s := range steps {
 			now = now.Add(step)
 			first := 0
@@ -327,10 +327,10 @@
 				}
 				kept += b.Left(now)
 			}
-			shares[s] = kept / (ratio*float64(perVM*vms*window) + slack)
+			shares = append(shares, kept/(ratio*float64(perVM*vms*window)+slack))
 			if s >= lag && s%5 == 0 {
 				for _, b := range budgets {
-					b.NoteFleetKept(now, shares[s-lag])
+					b.NoteFleetKept(now, shares[s])
 				}
 			}
 		}
