Forget a service once all its requests are let in

A service whose demand fell while its slots stayed in use kept shares just below one for as long. A level without requests in the last second counts as let in while room is left for its urgency. TestRareUrgentRequestsAreLetInWhileTheServiceIsFull holds that for a caller every 1.4 s; it passed before, too, by the rates of accounts.

--- a/pkg/admitter/admitter.go
+++ b/pkg/admitter/admitter.go
@@ -27,6 +27,8 @@
 	releaseTime = 400 * time.Millisecond
 	// adjustment is the part of the difference to its target by which a share changes in UpdateInterval.
 	adjustment = 0.25
+	// nearlyAll is the share from which on all are let in if the target is all.
+	nearlyAll = 0.99
 	// minLevelShare is how often a level or an account is let in at least, as a share of how often all are.
 	minLevelShare = 0.35
 	// The delay after which a rejected caller should return is at least minRetryAfter. It grows with the time for which the
@@ -62,7 +64,7 @@
 
 // service is the state of a service that is short of room or was until just now.
 type service struct {
-	updatedAt time.Time
+	createdAt, updatedAt time.Time
 	// shortSince is when it became short of room; zero while room is coming back.
 	shortSince time.Time
 	// shares are the shares of the requests that are let in, by level.
@@ -83,31 +85,22 @@
 // requests.
 func (a *Admitter) Update(now time.Time, name string, l Load) {
 	s := a.services[name]
-	short := l.RefusedShare() >= shortRefusedShare && l.Use >= shortUse
 	if s == nil {
-		if !short {
+		if l.RefusedShare() < shortRefusedShare || l.Use < shortUse {
 			return
 		}
 		s = newService(now)
 		a.services[name] = s
 	}
-	elapsed := now.Sub(s.updatedAt)
+	if l.Use < roomUse {
+		s.release(now)
+	} else {
+		s.approach(now, targetShares(l))
+	}
 	s.updatedAt = now
-	switch {
-	case l.Use < roomUse:
-		s.shortSince = time.Time{}
-		if s.raise(elapsed.Seconds() / releaseTime.Seconds()) {
-			delete(a.services, name)
-			return
-		}
-	default:
-		if s.shortSince.IsZero() {
-			s.shortSince = now
-		}
-		target := targetShares(l)
-		for i := range s.shares {
-			s.shares[i] += min(1, adjustment*elapsed.Seconds()/UpdateInterval.Seconds()) * (target[i] - s.shares[i])
-		}
+	if s.letsAllIn() {
+		delete(a.services, name)
+		return
 	}
 	for i, c := range s.levels {
 		c.update(now, s.shares[i])
@@ -115,21 +108,43 @@
 }
 
 func newService(now time.Time) *service {
-	s := &service{updatedAt: now, shortSince: now}
+	s := &service{createdAt: now, updatedAt: now, shortSince: now}
 	for i := range s.levels {
 		s.shares[i], s.levels[i] = 1, newAccounts(now)
 	}
 	return s
 }
 
-// raise lets more requests in, and reports whether all are.
-func (s *service) raise(by float64) (all bool) {
-	all = true
+// release lets more requests in since room is back.
+func (s *service) release(now time.Time) {
+	s.shortSince = time.Time{}
 	for i := range s.shares {
-		s.shares[i] = min(1, s.shares[i]+by)
-		all = all && s.shares[i] >= 1
+		s.shares[i] = min(1, s.shares[i]+now.Sub(s.updatedAt).Seconds()/releaseTime.Seconds())
 	}
-	return all
+}
+
+// approach moves the shares towards their targets.
+func (s *service) approach(now time.Time, targets [aggregator.Levels]float64) {
+	if s.shortSince.IsZero() {
+		s.shortSince = now
+	}
+	part := min(1, adjustment*now.Sub(s.updatedAt).Seconds()/UpdateInterval.Seconds())
+	for i := range s.shares {
+		s.shares[i] += part * (targets[i] - s.shares[i])
+		if targets[i] == 1 && s.shares[i] > nearlyAll {
+			s.shares[i] = 1
+		}
+	}
+}
+
+// letsAllIn reports whether all requests are let in. It is false for a service that has just become short of room.
+func (s *service) letsAllIn() bool {
+	for _, n := range s.shares {
+		if n < 1 {
+			return false
+		}
+	}
+	return s.updatedAt.After(s.createdAt)
 }
 
 // targetShares returns the shares of the levels that fill what the instances take now, and a little more.
@@ -154,6 +169,9 @@
 	for i, n := range l.Offered {
 		shares[i] = minLevelShare * mean
 		if n == 0 {
+			if left > 0 {
+				shares[i] = 1
+			}
 			continue
 		}
 		more := min(left, (1-shares[i])*float64(n))
--- a/pkg/admitter/admitter_test.go
+++ b/pkg/admitter/admitter_test.go
@@ -162,6 +162,14 @@
 	require.Greater(t, float64(p.total()), 0.95*5*1000, "the room there is is used")
 }
 
+func TestRareUrgentRequestsAreLetInWhileTheServiceIsFull(t *testing.T) {
+	p := newPlay(1000, sender{"rare", 0, 0.7, 10}, sender{"other", 2, 2000, 2000})
+	p.run(3 * time.Second)
+	p.reset()
+	p.run(60 * time.Second)
+	require.Greater(t, p.share("rare"), 0.85)
+}
+
 func TestRejectionsDoNotSwing(t *testing.T) {
 	p := newPlay(1000, levels(300, 700, 1000)...)
 	p.run(3 * time.Second)
