Leave retries to the urgent requests that are about to fail

What more urgent requests need within 0.5 s, at the rate at which they ask, now stays for them; what is left beyond that goes to the others as before.

Its model keeps up to five retries instead of one, as a VM does.

--- a/pkg/admitter/retries.go
+++ b/pkg/admitter/retries.go
@@ -27,6 +27,9 @@
 // maxPoll is the longest time after which a waiting request asks again: a more urgent one may have come, or another left.
 const maxPoll = 20 * time.Millisecond
 
+// reserveTime is the time for which retries are left to more urgent requests at the rate at which they join: most wait no longer.
+const reserveTime = 500 * time.Millisecond
+
 // Try is a request whose attempt failed, and which may be sent again.
 type Try struct {
 	Level   int
@@ -96,18 +99,19 @@
 // Turn returns what a request does now, with the retries that are left and those that are earned per second. A request that
 // waits asks again after wait. The caller takes a retry from the budget after TurnTake.
 func (q *Retries) Turn(now time.Time, k *Ticket, left, earned float64) (turn Turn, wait time.Duration) {
-	ahead := float64(slices.Index(q.waiting, k))
-	if left >= ahead+1 {
+	urgent := 0.0
+	for l := range k.Level {
+		urgent += q.joined[l].at(now)
+	}
+	need := float64(slices.Index(q.waiting, k)) + 1 + urgent*reserveTime.Seconds()
+	if left >= need {
 		q.grant(now, k.Account)
 		return TurnTake, 0
 	}
-	for l := range k.Level {
-		earned -= q.joined[l].at(now)
-	}
-	if earned <= 0 {
+	if earned <= urgent {
 		return TurnRefuse, 0
 	}
-	wait = time.Duration((ahead + 1 - left) / earned * float64(time.Second))
+	wait = time.Duration((need - left) / (earned - urgent) * float64(time.Second))
 	if now.Add(wait).After(k.StartBy) {
 		return TurnRefuse, 0
 	}
--- a/pkg/admitter/retries_test.go
+++ b/pkg/admitter/retries_test.go
@@ -10,7 +10,7 @@
 	"github.com/jacinthproxy/jacinthproxy/pkg/admitter"
 )
 
-// retryPlay lets requests fail at a VM whose budget earns a number of retries per second, of which it keeps one.
+// retryPlay lets requests fail at a VM whose budget earns a number of retries per second, of which it keeps up to five.
 type retryPlay struct {
 	queue  *admitter.Retries
 	now    time.Time
@@ -37,7 +37,7 @@
 
 func (p *retryPlay) step(d time.Duration) {
 	p.now = p.now.Add(d)
-	p.left = min(1, p.left+p.earned*d.Seconds())
+	p.left = min(5, p.left+p.earned*d.Seconds())
 	kept := p.wait[:0:0]
 	for _, w := range p.wait {
 		switch turn, _ := p.queue.Turn(p.now, w.ticket, p.left, p.earned); turn {
@@ -74,7 +74,7 @@
 		p.step(10 * time.Millisecond)
 	}
 	share := func(name string) float64 { return float64(p.got[name]) / float64(p.all[name]) }
-	require.Greater(t, share("urgent"), 0.85)
+	require.Greater(t, share("urgent"), 0.9)
 	require.Positive(t, p.got["other"], "what urgent requests leave goes to others")
 	require.Greater(t, float64(p.got["urgent"]+p.got["other"]), 0.95*3*30, "no retry is wasted")
 	require.LessOrEqual(t, p.held["other"], 600*time.Millisecond)
