Use connections again for requests that may run only once, once verified

Change: after 0.25 s of idle time the request is sent up to its last byte, and that once the connection has not ended for a moment; if it ends before, the instance cannot have run the request, and it goes on a new connection in the same attempt. Requests whose end cannot be held back keep the bound of 1 s.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -70,6 +70,8 @@
 	Chunked bool
 	// Length is the length of the whole body in bytes; it is ignored if Chunked is set.
 	Length int64
+	// RunsOnce is set if the request may run only once.
+	RunsOnce bool
 }
 
 // Response is the response of a backend server.
@@ -137,15 +139,28 @@
 func (f *Forwarder) Stats() (opened int64, idle int) { return f.pool.stats() }
 
 // Send sends a request and returns the response, which must be closed. MaxIdle is how long a kept connection may have
-// been idle to be reused; zero opens a new one. No connection carries two requests with the same ID. When the context ends, Send
-// closes the connection, which cancels the request at the instance; the returned error is then also marked with the context's
-// error.
+// been idle to be reused; zero opens a new one. If a kept connection turns out to be closed before a request that may run only
+// once was complete, the request is sent on a new one. No connection carries two requests with the same ID. When the context
+// ends, Send closes the connection, which cancels the request at the instance; the returned error is then also marked with the
+// context's error.
 func (f *Forwarder) Send(ctx context.Context, addr netip.AddrPort, r Request, maxIdle time.Duration) (Response, error) {
 	key := f.requestKey(r.ID)
-	c, err := f.connect(ctx, addr, key, maxIdle)
+	c, err := f.connect(ctx, addr, key, r.maxIdle(maxIdle))
 	if err != nil {
 		return Response{}, errors.Mark(err, ErrNotSent)
 	}
+	resp, err := f.sendOn(ctx, c, key, r)
+	if errors.Is(err, errDropped) && ctx.Err() == nil {
+		if c, err = f.connect(ctx, addr, key, 0); err != nil {
+			return Response{}, errors.Mark(err, ErrNotSent)
+		}
+		return f.sendOn(ctx, c, key, r)
+	}
+	return resp, err
+}
+
+// sendOn sends a request on a connection. It keeps the connection for reuse, or closes it.
+func (f *Forwarder) sendOn(ctx context.Context, c *conn, key uint64, r Request) (Response, error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	connection := c.describe(key)
 	c.carried = append(c.carried, key)
@@ -180,13 +195,14 @@
 			return c, nil
 		}
 	}
+	began := f.clock.Now()
 	nc, err := f.dialer.DialContext(ctx, "tcp", addr.String())
 	if err != nil {
 		return nil, errors.Wrap(err, "connect")
 	}
 	f.pool.opened.Add(1)
 	in := &boundedReader{r: nc}
-	return &conn{Conn: nc, to: addr, in: in, r: bufio.NewReaderSize(in, readBufferSize)}, nil
+	return &conn{Conn: nc, to: addr, in: in, r: bufio.NewReaderSize(in, readBufferSize), openTime: f.clock.Since(began)}, nil
 }
 
 // readBufferSize is the size of the read buffer of a connection, in bytes.
@@ -195,10 +211,16 @@
 func (f *Forwarder) roundTrip(c *conn, r Request) (Response, error) {
 	c.reusable = false
 	written := make(chan error, 1)
-	if r.BodyRest == nil && len(r.Body) <= maxSequentialBody {
-		err := writeRequest(c, r)
+	switch {
+	case c.verifies(r):
+		err := writeVerified(c, r)
+		if errors.Is(err, errDropped) {
+			return Response{}, err
+		}
 		written <- err
-	} else {
+	case r.BodyRest == nil && len(r.Body) <= maxSequentialBody:
+		written <- writeRequest(c, r)
+	default:
 		go func() { written <- writeRequest(c, r) }()
 	}
 	resp, err := f.readResponse(c, r)
@@ -219,8 +241,8 @@
 // on a full send window while the instance already responds, so it is written concurrently.
 const maxSequentialBody = 8 << 10
 
-func writeRequest(c *conn, r Request) error {
-	w := bufio.NewWriterSize(c, 4<<10)
+func writeRequest(to io.Writer, r Request) error {
+	w := bufio.NewWriterSize(to, 4<<10)
 	_, _ = w.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	if err := r.Header.Write(w); err != nil {
 		return errors.Wrap(err, "write request headers")
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -33,6 +33,8 @@
 	// keepAlive is how long the instance keeps the connection when idle; zero if unknown.
 	keepAlive time.Duration
 	idleSince time.Time
+	// idleTime is how long the connection was idle before its current request, and openTime how long opening it took.
+	idleTime, openTime time.Duration
 }
 
 // boundedReader reads from a connection up to a limit.
@@ -88,6 +90,7 @@
 		p.idle[addr] = slices.Delete(p.idle[addr], i, i+1)
 		p.idleCount--
 		if c.usable() {
+			c.idleTime = p.clock.Since(c.idleSince)
 			return c
 		}
 		_ = c.Close()
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -93,10 +93,6 @@
 	a.cancel = cancel
 	r.inFlight[a] = true
 	out := r.instanceRequest(c.ID, r.deadline.Sub(a.startedAt))
-	maxIdle := maxIdleNonIdempotent
-	if r.route.Idempotent {
-		maxIdle = maxIdleIdempotent
-	}
 	go func() {
 		a.response, a.err = r.Sender.Send(attemptCtx, c.Address, out, maxIdle)
 		r.finished <- a
--- a/internal/receiver/exchange.go
+++ b/internal/receiver/exchange.go
@@ -295,7 +295,7 @@
 	}
 	r := forwarder.Request{
 		ID: x.id, Method: x.req.Method, Target: x.target, Host: x.req.Host, Header: h,
-		Body: x.body, Length: int64(len(x.body)),
+		Body: x.body, Length: int64(len(x.body)), RunsOnce: !x.route.Idempotent,
 	}
 	if x.bodyRest != nil {
 		r.BodyRest, r.Length, r.Chunked = x.bodyRest, x.req.ContentLength, x.req.ContentLength < 0
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -36,12 +36,8 @@
 	unreadBodyTimeout = time.Second
 	// hedgeFraction is the fraction of a route's latency objective after which an idempotent request is hedged.
 	hedgeFraction = 0.6
-	// maxIdleNonIdempotent is the longest idle time after which a kept connection may carry a request that is not
-	// idempotent. A connection idle for longer may have been dropped silently, which shows only once the request is
-	// sent.
-	maxIdleNonIdempotent = time.Second
-	// maxIdleIdempotent is the same limit for idempotent requests, which can be retried.
-	maxIdleIdempotent = 4 * time.Second
+	// maxIdle is the longest idle time after which a kept connection to an instance may carry a request.
+	maxIdle = 4 * time.Second
 	// maxUnsent bounds the attempts of a request that fail before a byte is sent. A VM may have lost its network
 	// paths to a fifth of the instances; five such failures in a row are then rare.
 	maxUnsent = 5
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -34,7 +34,6 @@
 	retries     int
 	picks       int
 	sends       []forwarder.Request
-	maxIdles    []time.Duration
 	respond     func(n int) (forwarder.Response, error)
 	moved       []string
 	// leavings are the incarnations that were marked as leaving.
@@ -159,9 +158,8 @@
 	f.outcomes = append(f.outcomes, o)
 }
 
-func (f *fixture) Send(_ context.Context, _ netip.AddrPort, r forwarder.Request, maxIdle time.Duration) (forwarder.Response, error) {
+func (f *fixture) Send(_ context.Context, _ netip.AddrPort, r forwarder.Request, _ time.Duration) (forwarder.Response, error) {
 	f.sends = append(f.sends, r)
-	f.maxIdles = append(f.maxIdles, maxIdle)
 	return f.respond(len(f.sends))
 }
 
@@ -224,11 +222,13 @@
 	require.Less(t, f.logs.Len(), 200, "under load, most requests that succeed are counted only")
 }
 
-func TestNonIdempotentRequestsNeedMoreRecentConnections(t *testing.T) {
+// Only the forwarder knows whether a kept connection can be verified for a request that must not be sent twice.
+func TestRequestsThatRunOnceAreMarkedForTheirConnections(t *testing.T) {
 	f := newFixture()
 	f.serve("/once/", "secret")
 	f.serve("/safe/", "secret")
-	require.Less(t, f.maxIdles[0], f.maxIdles[1])
+	require.True(t, f.sends[0].RunsOnce)
+	require.False(t, f.sends[1].RunsOnce)
 }
 
 func TestDrainingClosesKeptConnections(t *testing.T) {
