--- /dev/null
+++ b/pkg/balancer/cost.go
@@ -0,0 +1,95 @@
+package balancer
+
+import "time"
+
+const (
+	// crossDomainCost is the cost of sending a request to another failure domain, in service times.
+	crossDomainCost = 0.6
+	// warmupCost is the additional expected wait at an instance that is still warming up, in service times.
+	warmupCost = 0.8
+	// costJitter is the upper bound of a random cost, in service times. It lets instances that cost slightly more than
+	// the cheapest one get requests too.
+	costJitter = 0.35
+	// goodCost is the cost, in service times, up to which the search for an instance stops early and doesn't go on in
+	// other failure domains. It is that of a free slot at an instance of usual speed.
+	goodCost = 1.3
+	// noRecentAnswerCost is the additional cost, in service times, of an instance without an answer within
+	// recentAnswerWindow, for requests that may run only once. The cost rises linearly with the time since the last
+	// answer. Instances may fail for a while without being noticed, so such requests prefer instances where others
+	// just succeeded, and idempotent requests check the rest.
+	noRecentAnswerCost = 0.6
+	recentAnswerWindow = time.Second
+	// recentActivityCost is the additional cost, in service times, of an instance with activity just now, for
+	// idempotent requests; it falls linearly to zero within recentActivityWindow. At a low request rate, a uniformly
+	// random choice would leave a fifth of the instances without any request for 2 s.
+	recentActivityCost   = 0.4
+	recentActivityWindow = time.Second
+	// fullTTL is how long an instance counts as full after it refused a request. It is about the time until a
+	// running request ends and frees a slot.
+	fullTTL = 300 * time.Millisecond
+	// fullCost is the additional cost of an instance that counts as full, in service times.
+	fullCost = 1.0
+	// peerInFlightTTL is how long the number of requests that peers run at an instance is valid after its last update.
+	peerInFlightTTL = 1500 * time.Millisecond
+	// latencyWeight is the weight of a new sample in the moving average of relative latency.
+	latencyWeight = 0.15
+	// minRelativeLatency and maxRelativeLatency clamp each sample of relative latency.
+	minRelativeLatency = 0.5
+	maxRelativeLatency = 12.0
+)
+
+// cost returns the expected wait of a request at an instance, in service times.
+func (b *Balancer) cost(now time.Time, s *state, r Request) float64 {
+	slots := float64(max(1, s.Slots))
+	l := float64(s.load(now))
+	c := s.relativeLatency * (1 + 0.3*l/slots + max(0, l+1-slots)/slots)
+	if s.Domain != b.domain {
+		c += crossDomainCost
+	}
+	if now.Before(s.WarmAt) {
+		c += warmupCost
+	}
+	if now.Before(s.fullUntil) {
+		c += fullCost
+	}
+	if r.Idempotent {
+		c += recentActivityCost * max(0, 1-now.Sub(s.lastActivityAt).Seconds()/recentActivityWindow.Seconds())
+	} else {
+		c += noRecentAnswerCost * min(1, now.Sub(s.lastAnswerAt).Seconds()/recentAnswerWindow.Seconds())
+	}
+	return c + costJitter*b.random.Float64() + max(0, s.evidence)/suspectThreshold
+}
+
+// load returns the known number of requests in flight at the instance.
+func (s *state) load(now time.Time) int {
+	if now.Sub(s.peerInFlightAt) > peerInFlightTTL {
+		return s.inFlight
+	}
+	return s.inFlight + s.peerInFlight
+}
+
+// addLatency adds a sample to the moving average of relative latency.
+func (s *state) addLatency(relativeLatency float64) {
+	r := min(maxRelativeLatency, max(minRelativeLatency, relativeLatency))
+	s.relativeLatency += latencyWeight * (r - s.relativeLatency)
+}
+
+// SetPeerInFlight sets how many requests all peers together have in flight at an instance. The number is used for
+// peerInFlightTTL.
+func (b *Balancer) SetPeerInFlight(now time.Time, id string, n int) {
+	s := b.instances[id]
+	if s == nil {
+		return
+	}
+	if n > s.peerInFlight {
+		s.lastActivityAt = now
+	}
+	s.peerInFlight, s.peerInFlightAt = n, now
+}
+
+// EachInFlight calls f for each instance with the number of requests that this process has in flight there.
+func (b *Balancer) EachInFlight(f func(id string, n int)) {
+	for _, s := range b.order {
+		f(s.ID, s.inFlight)
+	}
+}
