Reach all instances with requests that run once while many fail

Cause: trials were for idempotent requests.

Change: while more than 0.04 of a service's requests fail (own ones and those that peers report), requests that run once make trials, too: as many over all processes as keep 0.85 of the instances active, by the rate of requests that reports show, and at the one of four random instances with the least evidence against it.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -29,7 +29,8 @@
 	// limited is set if any instance has a limit.
 	limited bool
 	// pauses are those that instances asked for, by ID. They outlast a time in which an instance is not in the list.
-	pauses map[string]pause
+	pauses  map[string]pause
+	traffic traffic
 	// dueTrials is a buffer that pickTrial reuses.
 	dueTrials []*state
 }
@@ -92,7 +93,7 @@
 // Sampling gives an instance at most a few times its even share, however old the reports are.
 func (b *Balancer) Pick(now time.Time, r Request) (Choice, bool) {
 	b.refreshSuspects(now)
-	if r.Idempotent && len(r.Tried) == 0 {
+	if len(r.Tried) == 0 {
 		if s := b.pickTrial(now, r); s != nil {
 			return b.assign(now, s, true), true
 		}
@@ -182,6 +183,7 @@
 		return
 	}
 	b.addEvidence(now, s, llr(o, true))
+	b.traffic.count(now, o, 1)
 	switch o {
 	case OutcomeAnswered:
 		s.lastAnswerAt = now
--- a/pkg/balancer/evidence.go
+++ b/pkg/balancer/evidence.go
@@ -47,6 +47,7 @@
 	}
 	// Answers come first: failures in the same report are taken to be more recent.
 	for o := range OutcomeMoved + 1 {
+		b.traffic.count(now, o, r.Counts[o])
 		for range min(r.Counts[o], maxReportedOutcomes) {
 			b.addEvidence(now, s, llr(o, false))
 		}
--- a/pkg/balancer/trial.go
+++ b/pkg/balancer/trial.go
@@ -13,11 +13,34 @@
 	// trialProbability is the probability that an idempotent request is used for a trial that is due. It makes it unlikely
 	// that several VMs start a trial of the same instance at the same time.
 	trialProbability = 0.4
+	// Requests that may run only once are used for trials only while more than minFailedShare of the service's requests
+	// fail, and as often as needed from fullTrialsShare on: what is known then is outdated, or of too few instances.
+	minFailedShare  = 0.04
+	fullTrialsShare = 0.07
+	// activeShare is the share of the instances that such trials keep active. onceTrialAfter is the time without activity
+	// before them; it is longer than remoteTrialAfter, so that idempotent requests come first.
+	activeShare    = 0.85
+	onceTrialAfter = 1100 * time.Millisecond
+	// trialsWithin is the time within which all processes together start the trials that are missing, on average.
+	trialsWithin = 400 * time.Millisecond
+	// maxOnceTrials is the largest share of the requests that may run only once that is used for trials.
+	maxOnceTrials = 0.4
+	// trialSamples is the number of instances among which such a trial goes to the one with the least evidence against it.
+	// All processes would otherwise try the same one.
+	trialSamples = 4
 )
 
-// pickTrial returns an instance for a trial by an idempotent request, or nil. Of two random instances that are due, it
-// returns the one with the longer time without activity, so that VMs with the same view don't all choose the same one.
+// pickTrial returns an instance for a trial, or nil.
 func (b *Balancer) pickTrial(now time.Time, r Request) *state {
+	if r.Idempotent {
+		return b.pickIdempotentTrial(now, r)
+	}
+	return b.pickOnceTrial(now, r)
+}
+
+// pickIdempotentTrial returns, of two random instances that are due, the one with the longer time without activity, so
+// that processes with the same view don't all choose the same one.
+func (b *Balancer) pickIdempotentTrial(now time.Time, r Request) *state {
 	if b.random.Float64() >= trialProbability {
 		return nil
 	}
@@ -30,7 +53,7 @@
 		if r.LowRetryBudget && s.suspect {
 			after = after * 3 / 2
 		}
-		if s.trialsInFlight == 0 && now.Sub(s.lastActivityAt) > after && b.hasRoom(now, s, r) {
+		if b.isDue(now, s, r, after) {
 			b.dueTrials = append(b.dueTrials, s)
 		}
 	}
@@ -43,3 +66,35 @@
 	}
 	return x
 }
+
+// pickOnceTrial returns an instance for a trial by a request that may run only once. All processes together start as many
+// as keep activeShare of the instances active, whatever the rate of requests is.
+func (b *Balancer) pickOnceTrial(now time.Time, r Request) *state {
+	wanted := min(1, (b.traffic.failedShare(now)-minFailedShare)/(fullTrialsShare-minFailedShare))
+	if wanted <= 0 || b.random.Float64() >= maxOnceTrials*wanted {
+		return nil
+	}
+	b.dueTrials = b.dueTrials[:0]
+	for _, s := range b.order {
+		if b.isDue(now, s, r, onceTrialAfter) {
+			b.dueTrials = append(b.dueTrials, s)
+		}
+	}
+	missing := float64(len(b.dueTrials)) - (1-activeShare)*float64(len(b.order))
+	share := missing / (b.traffic.rate(now) * trialsWithin.Seconds())
+	if b.random.Float64()*maxOnceTrials >= share {
+		return nil
+	}
+	best := b.dueTrials[b.random.IntN(len(b.dueTrials))]
+	for range trialSamples - 1 {
+		if s := b.dueTrials[b.random.IntN(len(b.dueTrials))]; s.evidence < best.evidence {
+			best = s
+		}
+	}
+	return best
+}
+
+// isDue reports whether an instance without activity for more than a given time gets a trial.
+func (b *Balancer) isDue(now time.Time, s *state, r Request, after time.Duration) bool {
+	return s.trialsInFlight == 0 && now.Sub(s.lastActivityAt) > after && b.hasRoom(now, s, r)
+}
