Judge instances by a probability with a learned prior, and bound trials

Cause: on the platform a third of the instances breaks most connections for some seconds at any time, unseen. Evidence decayed to nothing with a half-life of 3 s and fell below suspicion 0.5 s after one broken connection, and nothing told an instance unheard of from one that just answered but a preference of requests that run once. Idempotent requests sought out instances without activity with every attempt: a fifth of the attempts failed, the retries were used up, and they failed more often than requests that run once.

Change: evidence is relative to a prior that is learned from instances of which nothing recent was known, and the probability relaxes to it within seconds. All attempts go where the expected wait plus the cost of a failure is least. Rejected requests (429) count as not served: they are reasons for trials, too.

--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -120,6 +120,13 @@
 	s.budget.CountRequest(p.Clock.Now())
 }
 
+// CountRejected counts a caller's request for a service that was rejected without being offered to an instance.
+func (p *Picker) CountRejected(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.service(name).balancer.CountRejected(p.Clock.Now())
+}
+
 // trialReserve is the number of retries that a VM must have left to try suspected instances freely: one for the request
 // that tries, and one for another that fails meanwhile.
 const trialReserve = 2
--- a/internal/receiver/exchange.go
+++ b/internal/receiver/exchange.go
@@ -134,6 +134,7 @@
 	x.service = x.splits.pick(x.route)
 	x.admission = x.Admitter.Admit(x.req.Context(), x.account)
 	if !x.admission.Admitted {
+		x.Picker.CountRejected(x.service)
 		return result{
 			reason: ReasonOverRate, status: http.StatusTooManyRequests, retryAfter: max(x.admission.RetryAfter, minRetryAfter),
 			detail: "the client account is beyond its rate",
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -126,6 +126,8 @@
 type Picker interface {
 	// CountRequest counts a caller's request for a service; the retry budget is proportional to these.
 	CountRequest(service string)
+	// CountRejected counts a caller's request for a service that was rejected without being offered to an instance.
+	CountRejected(service string)
 	// Pick chooses an instance and counts the request as in flight there until Done; false if there is none.
 	Pick(service string, r balancer.Request) (balancer.Choice, bool)
 	// Release ends a choice of Pick for which no request was sent. The instance is not picked again for the given time.
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -137,6 +137,7 @@
 func (f *fixture) Admit(context.Context, *router.Account) relayer.Admission {
 	return f.admitted
 }
+func (f *fixture) CountRejected(string)                                {}
 func (f *fixture) CountRequest(string)                                 {}
 func (f *fixture) MarkOverdue(balancer.Choice)                         {}
 func (f *fixture) Observe(string, receiver.Reason, int, time.Duration) {}
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -26,18 +26,22 @@
 	local, remote []*state
 	// refreshedAt is when suspicion was last recomputed; zero forces the next refreshSuspects to recompute it.
 	refreshedAt time.Time
+	// prior is the probability that an instance of which nothing is known is unhealthy.
+	prior float64
 	// limited is set if any instance has a limit.
 	limited bool
 	// pauses are those that instances asked for, by ID. They outlast a time in which an instance is not in the list.
 	pauses  map[string]pause
 	traffic traffic
+	// trialAllowance is the number of failures that trials by idempotent requests may cause now.
+	trialAllowance float64
 	// dueTrials is a buffer that pickTrial reuses.
 	dueTrials []*state
 }
 
 // New returns a balancer without instances, for a process in the given failure domain.
 func New(domain string, r *rand.Rand) *Balancer {
-	return &Balancer{domain: domain, random: r, instances: map[string]*state{}, pauses: map[string]pause{}}
+	return &Balancer{domain: domain, random: r, prior: initialPrior, instances: map[string]*state{}, pauses: map[string]pause{}}
 }
 
 // SetInstances replaces the instances that may be used. An instance that was in the previous list with the same address
@@ -94,6 +98,8 @@
 func (b *Balancer) Pick(now time.Time, r Request) (Choice, bool) {
 	b.refreshSuspects(now)
 	if len(r.Tried) == 0 {
+		b.traffic.decay(now)
+		b.traffic.picked++
 		if s := b.pickTrial(now, r); s != nil {
 			return b.assign(now, s, true), true
 		}
@@ -127,7 +133,7 @@
 		if slices.Contains(r.Tried, s.ID) {
 			continue
 		}
-		if c := b.cost(now, s, r); c < lowest {
+		if c := b.cost(now, s); c < lowest {
 			best, lowest = s, c
 		}
 	}
@@ -149,7 +155,7 @@
 			later = later || s.evidence < suspectThreshold
 			continue
 		}
-		c := b.cost(now, s, r)
+		c := b.cost(now, s)
 		if s.suspect || !b.available(now, s, r) {
 			c += 1000 + s.evidence
 		}
--- a/pkg/balancer/cost.go
+++ b/pkg/balancer/cost.go
@@ -13,17 +13,10 @@
 	// goodCost is the cost, in service times, up to which the search for an instance stops early and doesn't go on in
 	// other failure domains. It is that of a free slot at an instance of usual speed.
 	goodCost = 1.3
-	// noRecentAnswerCost is the additional cost, in service times, of an instance without an answer within
-	// recentAnswerWindow, for requests that may run only once. The cost rises linearly with the time since the last
-	// answer. Instances may fail for a while without being noticed, so such requests prefer instances where others
-	// just succeeded, and idempotent requests check the rest.
-	noRecentAnswerCost = 0.6
-	recentAnswerWindow = time.Second
-	// recentActivityCost is the additional cost, in service times, of an instance with activity just now, for
-	// idempotent requests; it falls linearly to zero within recentActivityWindow. At a low request rate, a uniformly
-	// random choice would leave a fifth of the instances without any request for 2 s.
-	recentActivityCost   = 0.4
-	recentActivityWindow = time.Second
+	// failureCost is the cost of a request that fails, in service times: most callers of a request that may run only once
+	// get nothing at all then. breakShare is the share of the requests that an unhealthy instance fails.
+	failureCost = 10.0
+	breakShare  = 0.85
 	// fullTTL is how long an instance counts as full after it refused a request. It is about the time until a
 	// running request ends and frees a slot.
 	fullTTL = 300 * time.Millisecond
@@ -39,7 +32,7 @@
 )
 
 // cost returns the expected wait of a request at an instance, in service times.
-func (b *Balancer) cost(now time.Time, s *state, r Request) float64 {
+func (b *Balancer) cost(now time.Time, s *state) float64 {
 	slots := float64(max(1, s.Slots))
 	l := float64(s.load(now))
 	c := s.relativeLatency * (1 + 0.3*l/slots + max(0, l+1-slots)/slots)
@@ -52,12 +45,7 @@
 	if now.Before(s.fullUntil) {
 		c += fullCost
 	}
-	if r.Idempotent {
-		c += recentActivityCost * max(0, 1-now.Sub(s.lastActivityAt).Seconds()/recentActivityWindow.Seconds())
-	} else {
-		c += noRecentAnswerCost * min(1, now.Sub(s.lastAnswerAt).Seconds()/recentAnswerWindow.Seconds())
-	}
-	return c + costJitter*b.random.Float64() + max(0, s.evidence)/suspectThreshold
+	return c + costJitter*b.random.Float64() + failureCost*breakShare*b.unhealthy(s)
 }
 
 // load returns the known number of requests in flight at the instance.
--- a/pkg/balancer/evidence.go
+++ b/pkg/balancer/evidence.go
@@ -8,19 +8,28 @@
 )
 
 const (
-	// suspectThreshold is the evidence at which an instance is suspected. One broken connection or two errors reach it.
-	suspectThreshold = 4.5
+	// suspectThreshold is the evidence at which an instance is suspected.
+	suspectThreshold = 2.5
 	// maxEvidence caps the evidence, so that about five answers clear a recovered instance of suspicion.
 	maxEvidence = 11.0
 	// minEvidence limits how far past answers lower the evidence, so that a new fault is detected immediately.
-	minEvidence = -2.0
-	// halfLife is the half-life of evidence and of deviations of relative latency. Faults on this platform last a few
-	// seconds.
+	minEvidence = -4.0
+	// relaxTime is the time constant with which what was observed at an instance loses its value, and the probability
+	// that it is unhealthy moves back to the prior. Faults on this platform last some seconds. After evidenceTTL without an
+	// outcome, nothing is left of it.
+	relaxTime   = 6 * time.Second
+	evidenceTTL = 10 * time.Second
+	// halfLife is the half-life of deviations of relative latency.
 	halfLife = 3 * time.Second
+	// initialPrior is the prior probability that an instance is unhealthy before anything was observed. What is observed at
+	// an instance whose last outcome is older than relaxTime moves it, with the weight priorWeight.
+	initialPrior       = 0.1
+	priorWeight        = 0.02
+	minPrior, maxPrior = 0.02, 0.35
 	// maxSuspectShare is the largest share of a service's instances that may be out of use because of suspicion.
 	maxSuspectShare = 0.3
 	// refreshInterval is the interval at which suspicion is recomputed when no outcome changes it. It is short
-	// compared with halfLife, so evidence hardly decays in between.
+	// compared with relaxTime, so evidence hardly decays in between.
 	refreshInterval = 20 * time.Millisecond
 )
 
@@ -70,7 +79,7 @@
 	var suspects []*state
 	for _, s := range b.order {
 		s.suspect = false
-		if s.decay(now); s.evidence >= suspectThreshold {
+		if b.decay(now, s); s.evidence >= suspectThreshold {
 			suspects = append(suspects, s)
 		}
 	}
@@ -94,21 +103,51 @@
 	}
 }
 
-// decay moves the evidence toward 0 and the relative latency toward 1, both with half-life halfLife.
-func (s *state) decay(now time.Time) {
-	if d := now.Sub(s.decayedAt); d > 0 {
-		f := math.Exp2(-d.Seconds() / halfLife.Seconds())
-		s.evidence *= f
-		s.relativeLatency = 1 + (s.relativeLatency-1)*f
-		s.decayedAt = now
+// decay moves the probability that the instance is unhealthy toward the prior, and the relative latency toward 1.
+func (b *Balancer) decay(now time.Time, s *state) {
+	d := now.Sub(s.decayedAt)
+	if d <= 0 {
+		return
+	}
+	s.decayedAt = now
+	s.relativeLatency = 1 + (s.relativeLatency-1)*math.Exp2(-d.Seconds()/halfLife.Seconds())
+	if s.evidence == 0 {
+		return
 	}
+	if now.Sub(s.evidenceAt) > evidenceTTL {
+		s.evidence = 0
+		return
+	}
+	p := b.prior + (b.unhealthy(s)-b.prior)*math.Exp(-d.Seconds()/relaxTime.Seconds())
+	s.evidence = logOdds(p) - logOdds(b.prior)
+}
+
+// unhealthy returns the probability that an instance is unhealthy.
+func (b *Balancer) unhealthy(s *state) float64 {
+	if s.evidence == 0 {
+		return b.prior
+	}
+	return 1 / (1 + math.Exp(-s.evidence-logOdds(b.prior)))
+}
+
+func logOdds(p float64) float64 { return math.Log(p / (1 - p)) }
+
+// updatePrior moves the prior toward what was just observed at an instance of which nothing recent was known.
+func (b *Balancer) updatePrior(s *state) {
+	b.prior = max(minPrior, min(maxPrior, b.prior+priorWeight*(b.unhealthy(s)-b.prior)))
 }
 
 // addEvidence adds the log-likelihood ratio r to the evidence against an instance.
 func (b *Balancer) addEvidence(now time.Time, s *state, r float64) {
-	s.decay(now)
+	b.decay(now, s)
 	s.lastActivityAt = now
 	s.evidence = max(minEvidence, min(maxEvidence, s.evidence+r))
+	if r != 0 {
+		if now.Sub(s.evidenceAt) > relaxTime {
+			b.updatePrior(s)
+		}
+		s.evidenceAt = now
+	}
 	if s.suspect != (s.evidence >= suspectThreshold) {
 		b.refreshedAt = time.Time{}
 	}
--- a/pkg/balancer/instance.go
+++ b/pkg/balancer/instance.go
@@ -25,9 +25,11 @@
 // state is the state of an instance as this process knows it from its own requests and from reports of peers.
 type state struct {
 	Instance
-	// evidence is the log-likelihood ratio of being unhealthy against being healthy, as decayed until decayedAt.
-	evidence  float64
-	decayedAt time.Time
+	// evidence is the log-likelihood ratio of being unhealthy against being healthy, as decayed until decayedAt. It was last
+	// added to at evidenceAt.
+	evidence   float64
+	decayedAt  time.Time
+	evidenceAt time.Time
 	// inFlight is the number of requests that this process has in flight at the instance. peerInFlight is the
 	// number that its peers have, as last reported at peerInFlightAt.
 	inFlight       int
