--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -54,6 +54,7 @@
 	latencies       map[string]time.Duration
 	// peerInFlight is what SetPeerInFlight was called with last.
 	peerInFlight map[string]int
+	usage        *usage
 }
 
 type service struct {
@@ -65,7 +66,7 @@
 func New(o Options) *Picker {
 	return &Picker{
 		Options: o, started: o.Clock.Now(), services: map[string]*service{}, instanceService: map[string]*service{},
-		addresses: map[netip.AddrPort]bool{}, latencies: map[string]time.Duration{},
+		addresses: map[netip.AddrPort]bool{}, latencies: map[string]time.Duration{}, usage: newUsage(o.Clock),
 	}
 }
 
@@ -120,13 +121,6 @@
 	s.budget.CountRequest(p.Clock.Now())
 }
 
-// CountRejected counts a caller's request for a service that was rejected without being offered to an instance.
-func (p *Picker) CountRejected(name string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.service(name).balancer.CountRejected(p.Clock.Now())
-}
-
 // trialReserve is the number of retries that a VM must have left to try suspected instances freely: one for the request
 // that tries, and one for another that fails meanwhile.
 const trialReserve = 2
@@ -136,6 +130,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s, now := p.service(name), p.Clock.Now()
+	r.UnservedShare = p.FleetUsage(name).Sum.UnservedShare()
 	r.LowRetryBudget = r.LowRetryBudget || s.budget.Left(now) < trialReserve
 	return s.balancer.Pick(now, r)
 }
@@ -204,6 +199,7 @@
 		s.balancer.Done(p.Clock.Now(), c, o, relative)
 	}
 	p.mu.Unlock()
+	p.countSend(c.Service, o)
 	p.reporter.Observe(c.ID, o, relative)
 }
 
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -73,6 +73,8 @@
 	// no answers that peers could report meanwhile, and a healthy one that is wrongly suspected must not be without
 	// requests.
 	LowRetryBudget bool
+	// UnservedShare is the share of the service's requests, of all processes, that were not served lately.
+	UnservedShare float64
 	// AvoidLimited is true if the request must not go to an instance with a limit.
 	AvoidLimited bool
 	// Tried are the IDs of the instances to which the request was already sent.
@@ -98,8 +100,6 @@
 func (b *Balancer) Pick(now time.Time, r Request) (Choice, bool) {
 	b.refreshSuspects(now)
 	if len(r.Tried) == 0 {
-		b.traffic.decay(now)
-		b.traffic.picked++
 		if s := b.pickTrial(now, r); s != nil {
 			return b.assign(now, s, true), true
 		}
--- a/pkg/balancer/spells_test.go
+++ b/pkg/balancer/spells_test.go
@@ -168,7 +168,6 @@
 	p := s.random.IntN(s.processes)
 	s.offered = append(s.offered, now)
 	if s.random.Float64() < s.rejectedShare {
-		s.balancers[p].CountRejected(now)
 		s.failures = append(s.failures, now)
 		return
 	}
@@ -181,6 +180,7 @@
 	}
 	s.retries[p] = min(keptRetries, s.retries[p]+earnedRetries)
 	q.LowRetryBudget = s.retries[p] < 2
+	q.UnservedShare = float64(len(s.failures)) / float64(len(s.offered))
 	s.send(now, p, q)
 }
 
@@ -336,20 +336,3 @@
 		require.Greater(t, res.trials, res.requests/20, "instances that recovered are found again")
 	}
 }
-
-func TestZ(t *testing.T) {
-	for _, l := range []spells{bookings, donors} {
-		var n, f, r, w, tr float64
-		low := 1.0
-		for seed := range uint64(4) {
-			res := l.play(seed)
-			n += float64(res.requests)
-			f += float64(res.failed)
-			tr += float64(res.trials)
-			r += res.reached
-			w += res.windows
-			low = min(low, res.leastReached)
-		}
-		t.Logf("failed %.4f trials %.3f reached %.3f least %.3f", f/n, tr/n, r/w, low)
-	}
-}
--- a/pkg/balancer/trial.go
+++ b/pkg/balancer/trial.go
@@ -25,12 +25,12 @@
 	// proportion: a trial that fails is lost, and most instances that failed still fail some seconds later. While many
 	// requests of the service aren't served, the delay is failingTrialDelay.
 	onceTrialAfter      = 900 * time.Millisecond
-	unhealthyTrialDelay = 6000 * time.Millisecond
+	unhealthyTrialDelay = 8 * time.Second
 	failingTrialDelay   = 2500 * time.Millisecond
-	// minFailedShare is the share of the requests that aren't served from which on trials are more frequent, and
+	// minUnservedShare is the share of the requests that aren't served from which on trials are more frequent, and
 	// fullTrialsShare that from which on they are as frequent as they get.
-	minFailedShare  = 0.07
-	fullTrialsShare = 0.1
+	minUnservedShare = 0.07
+	fullTrialsShare  = 0.1
 	// trialsWithin is the time within which all processes together start the trials that are missing, on average.
 	trialsWithin = 400 * time.Millisecond
 	// maxOnceTrials is the largest share of the requests that may run only once that is used for trials.
@@ -51,7 +51,7 @@
 // pickIdempotentTrial returns, of two random instances that are due, the one with the longer time without activity, so
 // that processes with the same view don't all choose the same one.
 func (b *Balancer) pickIdempotentTrial(now time.Time, r Request) *state {
-	b.trialAllowance = min(maxTrialFailures, b.trialAllowance+trialFailures+failingTrialFailures*b.trialsWanted(now, r))
+	b.trialAllowance = min(maxTrialFailures, b.trialAllowance+trialFailures+failingTrialFailures*trialsWanted(r))
 	b.dueTrials = b.dueTrials[:0]
 	for _, s := range b.order {
 		after := trialAfter
@@ -87,7 +87,7 @@
 	if b.random.Float64() >= maxOnceTrials {
 		return nil
 	}
-	delay := unhealthyTrialDelay - time.Duration(b.trialsWanted(now, r)*float64(unhealthyTrialDelay-failingTrialDelay))
+	delay := unhealthyTrialDelay - time.Duration(trialsWanted(r)*float64(unhealthyTrialDelay-failingTrialDelay))
 	b.dueTrials = b.dueTrials[:0]
 	for _, s := range b.order {
 		after := onceTrialAfter + time.Duration(b.unhealthy(s)*float64(delay))
@@ -108,21 +108,9 @@
 	return best
 }
 
-// trialsWanted returns from 0 to 1 how many of the service's requests aren't served, as a reason for trials. Of the idempotent
-// requests that fail, at least half is assumed to be sent again.
-func (b *Balancer) trialsWanted(now time.Time, r Request) float64 {
-	f := b.traffic.failedShare(now)
-	if r.Idempotent {
-		f /= 2
-	}
-	f += (1 - f) * b.traffic.rejectedShare(now)
-	return max(0, min(1, (f-minFailedShare)/(fullTrialsShare-minFailedShare)))
-}
-
-// CountRejected counts a request that was rejected without picking an instance.
-func (b *Balancer) CountRejected(now time.Time) {
-	b.traffic.decay(now)
-	b.traffic.rejected++
+// trialsWanted returns from 0 to 1 how many of the service's requests aren't served, as a reason for trials.
+func trialsWanted(r Request) float64 {
+	return max(0, min(1, (r.UnservedShare-minUnservedShare)/(fullTrialsShare-minUnservedShare)))
 }
 
 // isDue reports whether an instance without activity for more than a given time gets a trial.
