--- a/pkg/balancer/trial.go
+++ b/pkg/balancer/trial.go
@@ -16,7 +16,7 @@
 	// trialFailures is the share of the idempotent requests that may be expected to fail because they are used for trials,
 	// and have to be sent again. It leaves the larger part of the usual retry budgets to other failures. Up to
 	// maxTrialFailures that are not used are kept.
-	trialFailures    = 0.05
+	trialFailures    = 0.06
 	maxTrialFailures = 1.0
 	// failingTrialFailures is added to trialFailures while many requests fail.
 	failingTrialFailures = 0.1
