Cross failure domains by the room there is, and state it

Cause: leaving the failure domain cost a constant, whatever the domains had and needed.

Change: the cost falls to zero as the own domain's instances get fuller than the others'. Balancer.Room gives requests in flight and slots by failure domain.

Played without a network: the callers of one of three equal domains send 0.6 of the requests, at 0.55 of all slots.

Trials by idempotent requests: an instance that is likely to fail is tried a little later, failures of trials are earned by all requests of the service (they come from its retry budget), and no more than that while few retries are left: what trials fail would otherwise be a reason for more of them.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -24,6 +24,8 @@
 	order     []*state
 	// local and remote are the instances that are not suspected, in the own failure domain and in the others.
 	local, remote []*state
+	// crossingCost is the cost of sending a request to another failure domain now, in service times.
+	crossingCost float64
 	// refreshedAt is when suspicion was last recomputed; zero forces the next refreshSuspects to recompute it.
 	refreshedAt time.Time
 	// prior is the probability that an instance of which nothing is known is unhealthy.
--- a/pkg/balancer/cost.go
+++ b/pkg/balancer/cost.go
@@ -3,8 +3,10 @@
 import "time"
 
 const (
-	// crossDomainCost is the cost of sending a request to another failure domain, in service times.
-	crossDomainCost = 0.6
+	// crossDomainCost is the cost of sending a request to another failure domain, in service times, while the own one is as
+	// full as the others. It falls to zero when the share of the slots in use is higher by crossDomainRange in the own one.
+	crossDomainCost  = 0.6
+	crossDomainRange = 0.2
 	// warmupCost is the additional expected wait at an instance that is still warming up, in service times.
 	warmupCost = 0.8
 	// costJitter is the upper bound of a random cost, in service times. It lets instances that cost slightly more than
@@ -37,7 +39,7 @@
 	l := float64(s.load(now))
 	c := s.relativeLatency * (1 + 0.3*l/slots + max(0, l+1-slots)/slots)
 	if s.Domain != b.domain {
-		c += crossDomainCost
+		c += b.crossingCost
 	}
 	if now.Before(s.WarmAt) {
 		c += warmupCost
--- a/pkg/balancer/evidence.go
+++ b/pkg/balancer/evidence.go
@@ -101,6 +101,7 @@
 			b.remote = append(b.remote, s)
 		}
 	}
+	b.updateCrossingCost(now)
 }
 
 // decay moves the probability that the instance is unhealthy toward the prior, and the relative latency toward 1.
--- a/pkg/balancer/herd_test.go
+++ b/pkg/balancer/herd_test.go
@@ -58,8 +58,8 @@
 }
 
 // waitingShare simulates a load and returns the share of requests that found no free slot at their instance.
-func waitingShare(l workload, choose func(process int, now time.Time) balancer.Choice, bs []*balancer.Balancer, seed uint64) float64 {
-	r := rand.New(rand.NewPCG(seed, 1))
+func waitingShare(l workload, choose func(process int, now time.Time) balancer.Choice, bs []*balancer.Balancer) float64 {
+	r := rand.New(rand.NewPCG(1, 1))
 	busy := map[string]int{}
 	byProcess := make([]map[string]int, l.processes)
 	for i := range byProcess {
@@ -114,12 +114,12 @@
 	random := rand.New(rand.NewPCG(9, 9))
 	atRandom := waitingShare(l, func(int, time.Time) balancer.Choice {
 		return balancer.Choice{Instance: is[random.IntN(len(is))]}
-	}, bs, 1)
+	}, bs)
 	bs = l.newBalancers(is)
 	picked := waitingShare(l, func(p int, now time.Time) balancer.Choice {
 		c, _ := bs[p].Pick(now, balancer.Request{})
 		return c
-	}, bs, 1)
+	}, bs)
 	t.Logf("share of requests that wait: %.3f with the balancer, %.3f with a random choice", picked, atRandom)
 	require.Less(t, picked, atRandom)
 }
@@ -147,7 +147,7 @@
 		c, _ := bs[p].Pick(now, balancer.Request{Idempotent: true})
 		all = append(all, sent{now, c.ID})
 		return c
-	}, bs, 1)
+	}, bs)
 	reached, windows := 0, 0
 	for from := start.Add(2 * time.Second); from.Before(start.Add(l.duration - 2*time.Second)); from = from.Add(100 * time.Millisecond) {
 		got := map[string]bool{}
@@ -163,3 +163,47 @@
 	t.Logf("%.2f requests a second for each instance, %.3f of the instances got one within 2 s", float64(len(all))/l.duration.Seconds()/float64(l.instances), share)
 	require.GreaterOrEqual(t, share, 0.93)
 }
+
+// TestRequestsLeaveAFailureDomainThatIsFullerThanOthers guards against requests that wait in a failure domain while others
+// have free slots: the callers of one of three equal domains send three fifths of the requests. At most half as many again
+// may wait as if all domains sent the same.
+func TestRequestsLeaveAFailureDomainThatIsFullerThanOthers(t *testing.T) {
+	l := workload{
+		processes: 30, instances: 60, slots: 3, utilization: 0.55,
+		serviceTime: 280 * time.Millisecond, reportInterval: 100 * time.Millisecond, duration: 20 * time.Second,
+	}
+	is := instances(l.instances)
+	for i := range is {
+		is[i].Domain = fmt.Sprint("d", i%3)
+	}
+	waiting := func(domain func(process int) int) float64 {
+		bs := make([]*balancer.Balancer, l.processes)
+		for p := range bs {
+			bs[p] = balancer.New(fmt.Sprint("d", domain(p)), rand.New(rand.NewPCG(uint64(p), 2)))
+			bs[p].SetInstances(start, is)
+		}
+		return waitingShare(l, func(p int, now time.Time) balancer.Choice {
+			c, _ := bs[p].Pick(now, balancer.Request{})
+			return c
+		}, bs)
+	}
+	even := waiting(func(p int) int { return p % 3 })
+	uneven := waiting(func(p int) int {
+		if p < l.processes*3/5 {
+			return 0
+		}
+		return 1 + p%2
+	})
+	t.Logf("share of requests that wait: %.3f with even demand, %.3f with uneven demand", even, uneven)
+	require.Less(t, uneven, 1.5*even)
+}
+
+// TestRoomByFailureDomain guards against room at instances that may get no requests.
+func TestRoomByFailureDomain(t *testing.T) {
+	b := newBalancer(8)
+	require.Equal(t, map[string]balancer.Room{"d0": {Slots: 16}, "d1": {Slots: 16}}, b.Room(start))
+	b.SetPeerInFlight(start, "i0", 3)
+	b.ApplyReport(start, balancer.Report{Instance: "i2", Counts: map[balancer.Outcome]int{balancer.OutcomeShed: 1}})
+	b.ApplyReport(start, balancer.Report{Instance: "i1", Counts: map[balancer.Outcome]int{balancer.OutcomeBroken: 2}})
+	require.Equal(t, map[string]balancer.Room{"d0": {InFlight: 7, Slots: 16}, "d1": {Slots: 12}}, b.Room(start))
+}
--- a/pkg/balancer/trial.go
+++ b/pkg/balancer/trial.go
@@ -10,22 +10,24 @@
 	// remoteTrialAfter is the time without activity before processes of other failure domains start a trial. It is
 	// longer because reports take longer to reach them.
 	remoteTrialAfter = time.Second
+	// unhealthyDelay is how much later a trial is that is certain to fail.
+	unhealthyDelay = 250 * time.Millisecond
 	// trialsSoon is the time within which all processes together start the trials that are due, on average, by idempotent
 	// requests. It makes it unlikely that several start a trial of the same instance at the same time.
 	trialsSoon = 100 * time.Millisecond
-	// trialFailures is the share of the idempotent requests that may be expected to fail because they are used for trials,
-	// and have to be sent again. It leaves the larger part of the usual retry budgets to other failures. Up to
+	// trialFailures is the number of failures of trials by idempotent requests that may be expected for each request; they
+	// have to be sent again. It leaves the larger part of the usual retry budgets to other failures. Up to
 	// maxTrialFailures that are not used are kept.
-	trialFailures    = 0.06
+	trialFailures    = 0.05
 	maxTrialFailures = 1.0
-	// failingTrialFailures is added to trialFailures while many requests fail.
+	// failingTrialFailures is added to trialFailures while many requests aren't served and there are retries left.
 	failingTrialFailures = 0.1
 	// onceTrialAfter is the time without activity after which an instance gets a trial by a request that may run only once,
 	// if it is certainly healthy. If it is certainly unhealthy, it is unhealthyTrialDelay longer, and in between in
 	// proportion: a trial that fails is lost, and most instances that failed still fail some seconds later. While many
 	// requests of the service aren't served, the delay is failingTrialDelay.
 	onceTrialAfter      = 900 * time.Millisecond
-	unhealthyTrialDelay = 8 * time.Second
+	unhealthyTrialDelay = 7 * time.Second
 	failingTrialDelay   = 2500 * time.Millisecond
 	// minUnservedShare is the share of the requests that aren't served from which on trials are more frequent, and
 	// fullTrialsShare that from which on they are as frequent as they get.
@@ -42,6 +44,11 @@
 
 // pickTrial returns an instance for a trial, or nil.
 func (b *Balancer) pickTrial(now time.Time, r Request) *state {
+	earned := trialFailures
+	if !r.LowRetryBudget {
+		earned += failingTrialFailures * trialsWanted(r)
+	}
+	b.trialAllowance = min(maxTrialFailures, b.trialAllowance+earned)
 	if r.Idempotent {
 		return b.pickIdempotentTrial(now, r)
 	}
@@ -51,7 +58,6 @@
 // pickIdempotentTrial returns, of two random instances that are due, the one with the longer time without activity, so
 // that processes with the same view don't all choose the same one.
 func (b *Balancer) pickIdempotentTrial(now time.Time, r Request) *state {
-	b.trialAllowance = min(maxTrialFailures, b.trialAllowance+trialFailures+failingTrialFailures*trialsWanted(r))
 	b.dueTrials = b.dueTrials[:0]
 	for _, s := range b.order {
 		after := trialAfter
@@ -61,6 +67,7 @@
 		if r.LowRetryBudget && s.suspect {
 			after = after * 3 / 2
 		}
+		after += time.Duration(b.unhealthy(s) * float64(unhealthyDelay))
 		if b.isDue(now, s, r, after) {
 			b.dueTrials = append(b.dueTrials, s)
 		}
