--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -272,6 +272,31 @@
 	return js
 }
 
+// Trials returns the requests used for trials since the start, by service.
+func (p *Picker) Trials() map[string]float64 {
+	return p.eachBalancer(func(b *balancer.Balancer) float64 { return float64(b.Trials()) })
+}
+
+// Priors returns the probability that an instance of which nothing recent is known is unhealthy, by service.
+func (p *Picker) Priors() map[string]float64 { return p.eachBalancer((*balancer.Balancer).Prior) }
+
+func (p *Picker) eachBalancer(f func(*balancer.Balancer) float64) map[string]float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	vs := make(map[string]float64, len(p.services))
+	for n, s := range p.services {
+		vs[n] = f(s.balancer)
+	}
+	return vs
+}
+
+// Room returns the room of a service by failure domain.
+func (p *Picker) Room(name string) map[string]balancer.Room {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.service(name).balancer.Room(p.Clock.Now())
+}
+
 // RetriesLeft returns the retries left in this VM's share of the budget, by service.
 func (p *Picker) RetriesLeft() map[string]float64 {
 	p.mu.Lock()
--- a/internal/runner/operators.go
+++ b/internal/runner/operators.go
@@ -99,6 +99,8 @@
 		"limit_decisions": {"Requests since the start to instances with a limit, by the decision of the limit's owner.", "decision", r.relayer.LimitDecisions},
 		"rate_decisions":  {"Requests since the start whose rate was decided, by where and how.", "decision", r.relayer.RateDecisions},
 		"owned_rates":     single("Client accounts whose rate this VM holds.", r.relayer.OwnedRates),
+		"trials":          {"Requests since the start that were used to try an instance, by service.", "service", r.picker.Trials},
+		"unhealthy_prior": {"Probability that an instance of which nothing recent is known is unhealthy, by service.", "service", r.picker.Priors},
 		"retries_left":    {"Retries that this VM's share of the budget has, by service.", "service", r.picker.RetriesLeft},
 	}
 }
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -37,6 +37,8 @@
 	traffic traffic
 	// trialAllowance is the number of failures that trials by idempotent requests may cause now.
 	trialAllowance float64
+	// trials is the number of trials that this process started.
+	trials int
 	// dueTrials is a buffer that pickTrial reuses.
 	dueTrials []*state
 }
@@ -177,6 +179,7 @@
 	s.inFlight++
 	s.lastActivityAt = now
 	if trial {
+		b.trials++
 		s.trialsInFlight++
 	}
 	return c
--- a/pkg/balancer/evidence.go
+++ b/pkg/balancer/evidence.go
@@ -131,6 +131,9 @@
 	return 1 / (1 + math.Exp(-s.evidence-logOdds(b.prior)))
 }
 
+// Prior returns the probability that an instance of which nothing recent is known is unhealthy.
+func (b *Balancer) Prior() float64 { return b.prior }
+
 func logOdds(p float64) float64 { return math.Log(p / (1 - p)) }
 
 // updatePrior moves the prior toward what was just observed at an instance of which nothing recent was known.
--- a/pkg/balancer/trial.go
+++ b/pkg/balancer/trial.go
@@ -120,6 +120,9 @@
 	return max(0, min(1, (r.UnservedShare-minUnservedShare)/(fullTrialsShare-minUnservedShare)))
 }
 
+// Trials returns the number of trials that this process started.
+func (b *Balancer) Trials() int { return b.trials }
+
 // isDue reports whether an instance without activity for more than a given time gets a trial.
 func (b *Balancer) isDue(now time.Time, s *state, r Request, after time.Duration) bool {
 	return s.trialsInFlight == 0 && now.Sub(s.lastActivityAt) > after && b.hasRoom(now, s, r)
