Prefer instances that just answered this process

Change: of the instances that answered this process within 0.9 s and have none of its requests in flight, the two that answered last are compared first, at 0.3 service times less; the search goes on only if neither is good. An instance that just answered is also known to be well.

TestConnectionsAreUsedAgain demands a half.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -37,6 +37,8 @@
 	traffic traffic
 	// trialAllowance is the number of failures that trials by idempotent requests may cause now.
 	trialAllowance float64
+	// reusable are the instances that answered this process last, in the order of their answers.
+	reusable []*state
 	// trials is the number of trials that this process started.
 	trials int
 	// dueTrials is a buffer that pickTrial reuses.
@@ -108,7 +110,10 @@
 			return b.assign(now, s, true), true
 		}
 	}
-	best, lowest := b.sample(now, b.local, r, nil, math.Inf(1))
+	best, lowest := b.sampleReusable(now, r)
+	if lowest > goodCost {
+		best, lowest = b.sample(now, b.local, r, best, lowest)
+	}
 	if lowest > goodCost {
 		best, _ = b.sample(now, b.remote, r, best, lowest)
 	}
@@ -197,7 +202,7 @@
 	b.traffic.count(now, o, 1)
 	switch o {
 	case OutcomeAnswered:
-		s.lastAnswerAt = now
+		b.noteReusable(now, s)
 	case OutcomeShed:
 		s.fullUntil = now.Add(fullTTL)
 	}
--- a/pkg/balancer/evidence.go
+++ b/pkg/balancer/evidence.go
@@ -61,9 +61,6 @@
 			b.addEvidence(now, s, llr(o, false))
 		}
 	}
-	if r.Counts[OutcomeAnswered] > 0 {
-		s.lastAnswerAt = now
-	}
 	if r.Counts[OutcomeAnswered] > 0 && r.RelativeLatency > 0 {
 		s.addLatency(r.RelativeLatency)
 	}
--- a/pkg/balancer/instance.go
+++ b/pkg/balancer/instance.go
@@ -42,8 +42,8 @@
 	// lastActivityAt is when a request was last sent to the instance, or an outcome observed or reported, or when peers
 	// last reported more requests in flight there than before.
 	lastActivityAt time.Time
-	// lastAnswerAt is when an answer of the instance was last observed or reported.
-	lastAnswerAt time.Time
+	// answeredAt is when it last answered this process.
+	answeredAt time.Time
 	// fullUntil is the end of the time for which the instance counts as full because it refused a request.
 	fullUntil time.Time
 	// withheldUntil is the end of the time for which the instance is not picked because its limit is reached.
--- a/pkg/balancer/spells_test.go
+++ b/pkg/balancer/spells_test.go
@@ -61,6 +61,8 @@
 	requests, failed             int
 	idempotent, idempotentFailed int
 	trials                       int
+	// reused is the number of attempts that found a connection idle for less than a second.
+	reused int
 	// leastReached is the smallest share of the instances that were well for 2 s that got a request in that time; leastReachedFailing counts only those
 	// 2 s in which more than a tenth of the requests failed, of which there were windowsFailing.
 	leastReached, leastReachedFailing float64
@@ -98,8 +100,10 @@
 	instances []balancer.Instance
 	balancers []*balancer.Balancer
 	// bad are the instances in a bad spell, lastSent when each was last sent a request.
-	bad      map[string]bool
-	lastSent map[string]time.Time
+	bad map[string]bool
+	// idleSince is when each process last got an answer of an instance.
+	idleSince []map[string]time.Time
+	lastSent  map[string]time.Time
 	// turnedAt is when the current spell of an instance began.
 	turnedAt map[string]time.Time
 	// inFlight is the number of requests in flight at each instance, by process; total is their sum.
@@ -117,7 +121,7 @@
 	s := &spellsRun{
 		spells: l, spellsResult: spellsResult{leastReached: 1, leastReachedFailing: 1}, random: rand.New(rand.NewPCG(seed, 5)),
 		instances: instances(l.instances), balancers: make([]*balancer.Balancer, n), bad: map[string]bool{},
-		lastSent: map[string]time.Time{}, turnedAt: map[string]time.Time{}, inFlight: make([]map[string]int, n), total: map[string]int{}, retries: make([]float64, n),
+		lastSent: map[string]time.Time{}, turnedAt: map[string]time.Time{}, inFlight: make([]map[string]int, n), total: map[string]int{}, retries: make([]float64, n), idleSince: make([]map[string]time.Time, n),
 	}
 	for i := range s.instances {
 		c := &s.instances[i]
@@ -127,6 +131,7 @@
 	}
 	for p := range n {
 		s.inFlight[p] = map[string]int{}
+		s.idleSince[p] = map[string]time.Time{}
 		s.balancers[p] = balancer.New(fmt.Sprint("d", p%l.domains), rand.New(rand.NewPCG(seed, uint64(p))))
 		s.balancers[p].SetInstances(start, s.instances)
 	}
@@ -191,6 +196,10 @@
 		return
 	}
 	s.lastSent[c.ID] = now
+	if counted(now) && now.Sub(s.idleSince[p][c.ID]) < time.Second {
+		s.reused++
+	}
+	delete(s.idleSince[p], c.ID)
 	s.total[c.ID]++
 	s.inFlight[p][c.ID]++
 	o, took := balancer.OutcomeAnswered, s.serviceTime/4+s.exponential(s.serviceTime*3/4)
@@ -221,6 +230,7 @@
 	})
 	switch {
 	case o == balancer.OutcomeAnswered:
+		s.idleSince[p][c.ID] = now
 		return
 	case q.Idempotent && len(q.Tried) == 0 && s.retries[p] >= 1:
 		s.retries[p]--
@@ -336,3 +346,13 @@
 		require.Greater(t, res.trials, res.requests/20, "instances that recovered are found again")
 	}
 }
+
+// TestConnectionsAreUsedAgain guards against a new connection for most requests where a process has few of them for many
+// instances: at least half must find one that was in use less than a second ago.
+func TestConnectionsAreUsedAgain(t *testing.T) {
+	for seed := range uint64(2) {
+		res := bookings.play(seed)
+		t.Logf("%+v", res)
+		require.Greater(t, 2*res.reused, res.requests)
+	}
+}
--- a/pkg/balancer/trial.go
+++ b/pkg/balancer/trial.go
@@ -14,7 +14,7 @@
 	unhealthyDelay = 250 * time.Millisecond
 	// trialsSoon is the time within which all processes together start the trials that are due, on average, by idempotent
 	// requests. It makes it unlikely that several start a trial of the same instance at the same time.
-	trialsSoon = 100 * time.Millisecond
+	trialsSoon = 50 * time.Millisecond
 	// trialFailures is the number of failures of trials by idempotent requests that may be expected for each request; they
 	// have to be sent again. It leaves the larger part of the usual retry budgets to other failures. Up to
 	// maxTrialFailures that are not used are kept.
