--- a/internal/receiver/exchange.go
+++ b/internal/receiver/exchange.go
@@ -312,7 +312,7 @@
 		name = x.route.Name
 	}
 	x.Observer.Observe(name, res.reason, res.status, took)
-	if x.offered && res.reason != ReasonCanceled {
+	if x.service != "" && res.reason != ReasonCanceled {
 		x.Picker.CountEnded(x.service, res.reason == ReasonAnswered && res.status < http.StatusInternalServerError)
 	}
 	if res.reason != ReasonAnswered || len(x.tried) > 1 || res.status >= http.StatusInternalServerError {
