Hedge within a share of the requests that operators set

Cause: an idempotent request is sent to a second instance after a fixed 0.6 of its route's objective, out of the budget that requests which fail need.

It goes to an instance with a free slot that is neither suspected, limited, paused nor refused a request lately. Without the flag all stays as it was.

Shown: go test ./pkg/hedger plays calm, one slow instance, all slow, a burst and no retries left; in the play with one slow instance of 20 the 99th percentile is 0.72 s with a share of 0.05 and 1.68 s with 0. With the limit, the bound on use, the reserve of retries or the adaptation of the delay taken out, and with no hedges at all, tests of the package fail (each was tried). The tests of the receiver and the picker need the new interfaces and fail to build without them.

--- a/gateway.go
+++ b/gateway.go
@@ -18,6 +18,16 @@
 type gatewayCommand struct {
 	Settings string `type:"existingfile" env:"JACINTHPROXY_NODE_FILE" help:"Settings file of the platform."`
 	Level    string `default:"info" help:"Least level of the lines that are logged."`
+	// HedgeShare is nil unless set.
+	HedgeShare *float64 `env:"JACINTHPROXY_HEDGE_SHARE" placeholder:"SHARE" help:"Limit on hedges, the second sends of slow requests that may run more than once: a share of a service's requests over all VMs, from 0 (none) to 1. Unset: a request is sent again after 0.6 of its objective, within the retry budget."`
+}
+
+// Validate checks the flags. It is called by kong.
+func (c gatewayCommand) Validate() error {
+	if s := c.HedgeShare; s != nil && !(*s >= 0 && *s <= 1) {
+		return errors.Newf("--hedge-share is %v; it must be from 0 to 1", *s)
+	}
+	return nil
 }
 
 // Run runs a daemon on the platform with a metadata store until it receives SIGINT or SIGTERM.
@@ -44,7 +54,7 @@
 	}
 	d, err := runner.New(runner.Options{
 		Settings: s, Source: platform.NewStore(store, log), HeaderNames: platform.HeaderNames(), NewHandler: platform.NewHandler,
-		Clock: clock, Logger: log,
+		HedgeShare: c.HedgeShare, Clock: clock, Logger: log,
 	})
 	if err != nil {
 		return err
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -12,6 +12,7 @@
 	"net/netip"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -70,6 +71,8 @@
 	Chunked bool
 	// Length is the length of the whole body in bytes; it is ignored if Chunked is set.
 	Length int64
+	// Answering is set once the head of the response was read; it may be nil.
+	Answering *atomic.Bool
 }
 
 // Response is the response of a backend server.
@@ -295,6 +298,9 @@
 		if httpResp.StatusCode == http.StatusServiceUnavailable {
 			pause = parseRetryAfter(httpResp.Header.Get("Retry-After"))
 		}
+		if r.Answering != nil {
+			r.Answering.Store(true)
+		}
 		return f.readBody(c, httpResp)
 	}
 	return Response{}, errors.New("too many answers belong to other requests")
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -54,6 +54,8 @@
 	latencies       map[string]time.Duration
 	// peerInFlight is what SetPeerInFlight was called with last.
 	peerInFlight map[string]int
+	// hedges is nil unless hedges have a limit.
+	hedges *Hedges
 }
 
 type service struct {
@@ -118,6 +120,9 @@
 	s := p.service(name)
 	s.budget.Resize(p.RetrySlack, p.VMCount())
 	s.budget.CountRequest(p.Clock.Now())
+	if p.hedges != nil {
+		p.hedges.hedger.CountRequest(p.Clock.Now(), name)
+	}
 }
 
 // trialReserve is the number of retries that a VM must have left to try suspected instances freely: one for the request
--- a/internal/picker/picker_test.go
+++ b/internal/picker/picker_test.go
@@ -15,6 +15,7 @@
 	"github.com/jacinthproxy/jacinthproxy/internal/relayer"
 	"github.com/jacinthproxy/jacinthproxy/internal/router"
 	"github.com/jacinthproxy/jacinthproxy/pkg/balancer"
+	"github.com/jacinthproxy/jacinthproxy/pkg/hedger"
 )
 
 func TestMain(m *testing.M) { chooser.Main(m) }
@@ -236,3 +237,38 @@
 	p.SetPeerInFlight(map[string]int{"b": 1})
 	require.Equal(t, map[string]int{"a": 0, "b": 1}, load())
 }
+
+// Hedges must leave retries for requests that fail, and end before a service is full.
+func TestHedgesAreTakenFromTheirLimitAndTheRetryBudget(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	p := picker.New(picker.Options{
+		Domain: "d", Random: rand.New(rand.NewPCG(1, 2)), Clock: clock, RetryRatio: 0.2, RetrySlack: 10, RetryWindow: 10 * time.Second, VMCount: func() int { return 1 },
+	})
+	p.SetReporter(outcomeCounts{})
+	h := p.EnableHedges(0.1)
+	var is []balancer.Instance
+	for _, id := range []string{"a", "b", "c", "e"} {
+		is = append(is, balancer.Instance{ID: id, Service: "s", Domain: "d", Slots: 10})
+	}
+	p.SetInstances(is)
+	r := &router.Route{Name: "r", Objective: time.Second}
+	hedge := func() hedger.Decision {
+		_, d, ok := h.Pick("s", r, balancer.Request{Idempotent: true, Tried: []string{"a"}}, time.Second)
+		require.Equal(t, d == hedger.DecisionSend, ok)
+		return d
+	}
+	require.Equal(t, hedger.DecisionLimit, hedge())
+	for range 100 {
+		p.CountRequest("s")
+	}
+	left := p.RetriesLeft()["s"]
+	require.Equal(t, hedger.DecisionSend, hedge())
+	require.InDelta(t, left-1, p.RetriesLeft()["s"], 1e-9)
+	for p.RetriesLeft()["s"] >= 3 {
+		require.True(t, p.TakeRetry("s"))
+	}
+	require.Equal(t, hedger.DecisionRetries, hedge())
+	clock.Advance(time.Second)
+	p.SetPeerInFlight(map[string]int{"a": 10, "b": 10, "c": 10, "e": 9})
+	require.Equal(t, hedger.DecisionFull, hedge())
+}
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,10 +20,12 @@
 	choice    balancer.Choice
 	startedAt time.Time
 	// viewAge is the age of the view of the instances that the choice was made with.
-	viewAge  time.Duration
-	cancel   context.CancelFunc
-	response forwarder.Response
-	err      error
+	viewAge time.Duration
+	cancel  context.CancelFunc
+	// answering is set once the head of the response was read.
+	answering atomic.Bool
+	response  forwarder.Response
+	err       error
 }
 
 // retrier sends one request to instances until one responds or no further attempt is allowed.
@@ -37,14 +40,20 @@
 	// errorResponse is an instance's own error response, returned if no other attempt succeeds.
 	errorResponse *forwarder.Response
 	detail        string
+	hedging       hedging
+	// answered is the attempt whose response is that of the request, nil if there is none.
+	answered *attempt
 }
 
 // run sends the request and returns its result.
 func (x *exchange) run(ctx context.Context) result {
 	r := &retrier{exchange: x, finished: make(chan *attempt, x.route.Attempts+maxUnsent+1), inFlight: map[*attempt]bool{}}
-	defer func() { r.cancelAll(ctx.Err() != nil) }()
-	hedge := time.NewTimer(time.Duration(hedgeFraction * float64(x.route.Objective)))
-	defer hedge.Stop()
+	defer func() {
+		r.cancelAll(ctx.Err() != nil)
+		r.endHedging()
+	}()
+	overdue := time.NewTimer(time.Duration(overdueFraction * float64(x.route.Objective)))
+	defer overdue.Stop()
 	if res, ok := r.start(ctx, false); !ok {
 		return res
 	}
@@ -52,13 +61,15 @@
 		select {
 		case <-ctx.Done():
 			return r.interrupted()
-		case <-hedge.C:
+		case <-overdue.C:
 			for a := range r.inFlight {
 				x.Picker.MarkOverdue(a.choice)
 			}
-			if x.route.Idempotent && x.bodyRest == nil {
+			if x.Hedger == nil && x.route.Idempotent && x.bodyRest == nil {
 				_, _ = r.start(ctx, true)
 			}
+		case <-r.hedgeDue():
+			r.hedge(ctx)
 		case a := <-r.finished:
 			delete(r.inFlight, a)
 			if res, done := r.handleFinished(ctx, a); done {
@@ -81,18 +92,29 @@
 	if !ok {
 		return res, false
 	}
+	r.send(ctx, c, resend)
+	return result{}, true
+}
+
+// send sends the request to an instance.
+func (r *retrier) send(ctx context.Context, c balancer.Choice, resend bool) {
 	r.tried, r.outcomes = append(r.tried, c.ID), append(r.outcomes, outcomePending)
 	r.sent++
 	a := &attempt{number: len(r.tried), choice: c, startedAt: r.Clock.Now()}
 	_, a.viewAge = r.Tracker.Usable(c.ID)
+	if len(r.inFlight) > 0 {
+		r.hedging.sent = a
+	}
 	if resend {
 		r.Logger.Info("sent again", zap.String("id", r.id), zap.String("instance", c.ID), zap.Float64("evidence", c.Evidence),
-			zap.Int("load", c.Load), zap.Duration("after", a.startedAt.Sub(r.arrivedAt)), zap.Duration("viewAge", a.viewAge), zap.String("because", r.detail))
+			zap.Int("load", c.Load), zap.Duration("after", a.startedAt.Sub(r.arrivedAt)), zap.Duration("viewAge", a.viewAge), zap.Bool("hedge", a == r.hedging.sent),
+			zap.String("because", r.detail))
 	}
 	attemptCtx, cancel := context.WithCancel(ctx)
 	a.cancel = cancel
 	r.inFlight[a] = true
 	out := r.instanceRequest(c.ID, r.deadline.Sub(a.startedAt))
+	out.Answering = &a.answering
 	maxIdle := maxIdleNonIdempotent
 	if r.route.Idempotent {
 		maxIdle = maxIdleIdempotent
@@ -101,7 +123,7 @@
 		a.response, a.err = r.Sender.Send(attemptCtx, c.Address, out, maxIdle)
 		r.finished <- a
 	}()
-	return result{}, true
+	r.awaitHedge(a)
 }
 
 // awaitView waits for a recent view of the instances. It returns false if the request should not be sent now.
@@ -127,6 +149,7 @@
 	r.logAttempt(a, o, took)
 	r.observeStatements(a)
 	r.Picker.Done(r.route, a.choice, o, took)
+	r.observeAnswer(a, o)
 	if usable, _ := r.Tracker.Usable(a.choice.ID); !usable {
 		r.Logger.Info("instance left during request", zap.String("id", r.id), zap.String("instance", a.choice.ID),
 			zap.Duration("viewAge", a.viewAge), zap.Duration("took", took), zap.Stringer("outcome", o))
@@ -136,6 +159,7 @@
 	}
 	switch o {
 	case balancer.OutcomeAnswered:
+		r.answered = a
 		return result{reason: ReasonAnswered, status: a.response.Status, response: &a.response}, true
 	case balancer.OutcomeCanceled:
 		return r.interrupted(), true
--- a/internal/receiver/exchange.go
+++ b/internal/receiver/exchange.go
@@ -52,6 +52,8 @@
 	outcomes []string
 	// responses are those that were received, to be closed when the request is over.
 	responses []forwarder.Response
+	// hedgeResult is hedgeWon if a hedge's response is that of the request, hedgeLost if another one is, and empty without a hedge.
+	hedgeResult string
 }
 
 // result is how a request ended, with the response or error to return to the caller.
@@ -347,7 +349,7 @@
 	}
 	x.Logger.Info("request", zap.String("id", x.id), zap.Stringer("reason", res.reason), zap.Int("status", res.status),
 		zap.Bool("notRun", res.reason.notRun()), zap.String("route", route), zap.String("account", account),
-		zap.String("service", x.service), zap.Strings("tried", x.tried), zap.Strings("outcomes", x.outcomes), zap.Duration("took", took),
+		zap.String("service", x.service), zap.Strings("tried", x.tried), zap.Strings("outcomes", x.outcomes), zap.String("hedge", x.hedgeResult), zap.Duration("took", took),
 		zap.Int64("version", x.configurationVersion), zap.Duration("readAge", x.configurationAge), zap.String("rateOwner", x.admission.Owner),
 		zap.String("detail", res.detail))
 }
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -34,8 +34,9 @@
 	attemptsBurst     = 200
 	// unreadBodyTimeout bounds the time that a connection stays open after a response before the body's end.
 	unreadBodyTimeout = time.Second
-	// hedgeFraction is the fraction of a route's latency objective after which an idempotent request is hedged.
-	hedgeFraction = 0.6
+	// overdueFraction is the fraction of a route's latency objective after which a request is overdue. Without
+	// a Hedger, it is hedged then.
+	overdueFraction = 0.6
 	// maxIdleNonIdempotent is the longest idle time after which a kept connection may carry a request that is not
 	// idempotent. A connection idle for longer may have been dropped silently, which shows only once the request is
 	// sent.
@@ -164,7 +165,9 @@
 	Limiter     Limiter
 	Picker      Picker
 	Sender      Sender
-	Observer    Observer
+	// Hedger limits hedges. If it is nil, a request is hedged once it is overdue, within the retry budget.
+	Hedger   Hedger
+	Observer Observer
 	// MaxKeyAge bounds the age of the configuration by which a key is accepted; up to keyAgeFraction of it is used.
 	MaxKeyAge time.Duration
 	// DrainTimeout is how long an instance that left may still get requests.
@@ -191,6 +194,7 @@
 	// attemptLog bounds the log lines of attempts.
 	attemptLog    *logger.Limiter
 	attemptCounts *attemptCounts
+	hedgeCounts   *hedgeCounts
 	// bodyBytes is the memory reserved for request bodies.
 	bodyBytes atomic.Int64
 }
@@ -200,7 +204,7 @@
 	return &Receiver{
 		Options: o, failedWaits: failedWaits{at: map[string]time.Time{}}, splits: splits{at: map[string]float64{}}, stop: newStop(),
 		answerLog: rate.NewLimiter(answersPerSecond, answersBurst), attemptLog: logger.NewLimiter(attemptsPerSecond, attemptsBurst),
-		attemptCounts: newAttemptCounts(),
+		attemptCounts: newAttemptCounts(), hedgeCounts: newHedgeCounts(),
 	}
 }
 
--- a/internal/runner/operators.go
+++ b/internal/runner/operators.go
@@ -92,6 +92,15 @@
 		"refused_attempts": {"Attempts that instances refused since the start, by the connection that the refusal came on.", "connection", func() map[string]float64 {
 			return r.receiver.RefusedAttempts()
 		}},
+		"hedges": {"Hedges since the start that were sent, won or lost, and requests without one because of what refused it.", "end", func() map[string]float64 {
+			return r.receiver.HedgeCounts()
+		}},
+		"hedge_credit": {"Hedges that this VM may send now under the limit, by service; none without a limit.", "service", func() map[string]float64 {
+			if r.hedges == nil {
+				return nil
+			}
+			return r.hedges.Credit()
+		}},
 		"skipped_responses": single("Responses of instances since the start that belonged to no request in flight on their connection.", func() float64 {
 			return float64(r.receiver.SkippedResponses())
 		}),
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -43,6 +43,8 @@
 	HeaderNames receiver.HeaderNames
 	// NewHandler returns the handler of the platform's calls for addresses and readiness.
 	NewHandler func(Fleet) http.Handler
+	// HedgeShare limits hedges to a share of a service's requests, over all VMs. If it is nil, only the retry budget does.
+	HedgeShare *float64
 	Clock      clockwork.Clock
 	Logger     *zap.Logger
 }
@@ -50,8 +52,10 @@
 // Runner is a daemon.
 type Runner struct {
 	Options
-	tracker   *tracker.Tracker
-	picker    *picker.Picker
+	tracker *tracker.Tracker
+	picker  *picker.Picker
+	// hedges is nil unless hedges have a limit.
+	hedges    *picker.Hedges
 	relayer   *relayer.Relayer
 	messenger *messenger.Messenger
 	forwarder *forwarder.Forwarder
@@ -100,8 +104,13 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
+	var hedger receiver.Hedger
+	if r.HedgeShare != nil {
+		r.hedges = r.picker.EnableHedges(*r.HedgeShare)
+		hedger = r.hedges
+	}
 	r.receiver = receiver.New(receiver.Options{
-		HeaderNames: r.HeaderNames, Tracker: r.tracker, Admitter: r.relayer, Limiter: r.relayer, Picker: r.picker, Sender: r.forwarder, Observer: r.metrics,
+		HeaderNames: r.HeaderNames, Tracker: r.tracker, Admitter: r.relayer, Limiter: r.relayer, Picker: r.picker, Sender: r.forwarder, Hedger: hedger, Observer: r.metrics,
 		MaxKeyAge: s.Bounds.MaxKeyAge, DrainTimeout: s.Bounds.DrainTimeout, MaxBodyMemory: int64(bodyMemoryFraction * float64(s.Memory)), Started: r.Clock.Now(), Draining: r.draining, Clock: r.Clock, Logger: r.Logger,
 	})
 	r.frontend = newFrontend(callers, r.receiver, r.limits)
