--- a/gateway_test.go
+++ b/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math"
 	"os"
 	"path/filepath"
 	"strings"
@@ -45,3 +46,11 @@
 	go reportSettingsChanges(signals, filepath.Join(t.TempDir(), "none.json"), runner.Settings{}, log)
 	require.Eventually(t, func() bool { return strings.Contains(out.text(), "event=reload") }, 30*time.Second, 10*time.Millisecond)
 }
+
+func TestHedgeShareOutOfRangeIsRefused(t *testing.T) {
+	require.NoError(t, gatewayCommand{}.Validate())
+	for share, ok := range map[float64]bool{0: true, 0.05: true, 1: true, -0.01: false, 1.01: false, math.NaN(): false} {
+		err := gatewayCommand{HedgeShare: &share}.Validate()
+		require.Equal(t, ok, err == nil, "%v: %v", share, err)
+	}
+}
