End responses that callers do not read

Cause: a buffered response, and what net/http flushes after the handler, was written without a time limit. A caller that did not read held its memory, up to 256 KB of the eighth that all responses share, until it went away; with 92 of these on a VM with 184 MB, all further long responses would have held their instance's connection instead.

Change: a caller's connection takes at least 16 KB of a response within 5 s, unless the handler has set a deadline of its own, as it does for streamed responses (unchanged). A response that ends so has the line "response not read".

Shown: TestResponseThatIsNotReadEnds, with a caller at the socket that does not read, and the two tests beside it; without the new deadline all three fail (the first after its 30 s).

--- a/internal/receiver/exchange.go
+++ b/internal/receiver/exchange.go
@@ -375,7 +375,9 @@
 	case resp.BodyRest == nil:
 		h.Set("Content-Length", strconv.Itoa(len(resp.Body)))
 		x.w.WriteHeader(res.status)
-		_, _ = x.w.Write(resp.Body) // The caller may have disconnected.
+		if _, err := x.w.Write(resp.Body); errors.Is(err, os.ErrDeadlineExceeded) { // Else, the caller may have disconnected.
+			x.Logger.Info("response not read", zap.String("id", x.id), zap.Int("bytes", len(resp.Body)))
+		}
 		return
 	}
 	if resp.Length >= 0 {
--- a/internal/runner/connection.go
+++ b/internal/runner/connection.go
@@ -47,6 +47,8 @@
 type callerConn struct {
 	net.Conn
 	limits func() router.Limits
+	// stallTimeout is how long the caller may take none of a response.
+	stallTimeout time.Duration
 
 	mu    sync.Mutex
 	phase phase
@@ -55,10 +57,12 @@
 	headBytes int
 	// rejected is set once a head was too long.
 	rejected bool
+	// writeDeadline is the one that the handler has set, zero if there is none.
+	writeDeadline time.Time
 }
 
-func newCallerConn(c net.Conn, limits func() router.Limits) *callerConn {
-	return &callerConn{Conn: c, limits: limits, since: time.Now()}
+func newCallerConn(c net.Conn, limits func() router.Limits, stallTimeout time.Duration) *callerConn {
+	return &callerConn{Conn: c, limits: limits, stallTimeout: stallTimeout, since: time.Now()}
 }
 
 // Read implements net.Conn. While it waits for a request or reads its head, it returns a timeout when the limit in force is
--- a/internal/runner/frontend.go
+++ b/internal/runner/frontend.go
@@ -23,6 +23,8 @@
 	net.Listener
 	server http.Server
 	limits func() router.Limits
+	// stallTimeout is how long a caller may take none of a response.
+	stallTimeout time.Duration
 
 	mu       sync.Mutex
 	conns    map[*callerConn]struct{}
@@ -32,7 +34,7 @@
 }
 
 func newFrontend(l net.Listener, h http.Handler, limits func() router.Limits) *frontend {
-	f := &frontend{Listener: l, limits: limits, conns: map[*callerConn]struct{}{}, applied: limits()}
+	f := &frontend{Listener: l, limits: limits, stallTimeout: stallTimeout, conns: map[*callerConn]struct{}{}, applied: limits()}
 	f.server = http.Server{ //nolint:gosec // The connections bound the time of a head.
 		Handler: h, ConnState: f.setState,
 		MaxHeaderBytes: math.MaxInt32, // The connections enforce the limits.
@@ -57,7 +59,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := newCallerConn(nc, f.limits)
+	c := newCallerConn(nc, f.limits, f.stallTimeout)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.conns[c] = struct{}{}
--- a/internal/runner/frontend_test.go
+++ b/internal/runner/frontend_test.go
@@ -39,9 +39,15 @@
 }
 
 func newTestFrontendOn(t *testing.T, l net.Listener, h http.Handler) *testFrontend {
+	return newTestFrontendWith(t, l, h, func(*frontend) {})
+}
+
+// newTestFrontendWith returns a frontend that runs after a change.
+func newTestFrontendWith(t *testing.T, l net.Listener, h http.Handler, change func(f *frontend)) *testFrontend {
 	f := &testFrontend{t: t}
 	f.setLimits(func(*router.Limits) {})
 	f.frontend = newFrontend(l, h, func() router.Limits { return *f.limits.Load() })
+	change(f.frontend)
 	go func() { _ = f.Run() }()
 	t.Cleanup(func() { _ = f.server.Close() })
 	return f
