Read responses of known length up to 1 MiB at once

Cause: responses over 256 KiB were passed on at the caller's pace. A slow caller held the instance's connection, which the instance cuts off after some seconds; one that was cut midway had reached the caller in part, so that an idempotent request could not be sent again; and the connection was closed after each. The answers of the new customers have 90 KB to 540 KB.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -23,9 +23,11 @@
 	// ConnectTimeout bounds the opening of a connection. Links have a latency of 1 ms, and a lost packet is
 	// retransmitted only after 1 s; by then another instance has responded.
 	ConnectTimeout = 250 * time.Millisecond
-	// maxBufferedBody is the longest response body that is buffered until it is complete, in bytes; longer ones are
-	// streamed.
+	// maxBufferedBody is the longest response body of unknown length that is buffered until it is complete, in bytes, and
+	// maxKnownBody the longest of known length; longer ones are streamed. An instance is then read at once, however slowly the
+	// caller reads.
 	maxBufferedBody = 256 << 10
+	maxKnownBody    = 1 << 20
 	// smallBody is the length up to which a response body is buffered without a reservation of memory, in bytes.
 	smallBody = 8 << 10
 	// maxHeadBytes bounds the status line and the headers of a response, in bytes.
@@ -346,10 +348,8 @@
 	body, err := io.ReadAll(io.LimitReader(httpResp.Body, smallBody+1))
 	if err == nil && len(body) > smallBody {
 		if resp.hold = f.memory.reserve(bufferedLength(httpResp)); resp.hold != nil {
-			limit = maxBufferedBody
-			var more []byte
-			more, err = io.ReadAll(io.LimitReader(httpResp.Body, int64(maxBufferedBody+1-len(body))))
-			body = append(body, more...)
+			limit = int(resp.hold.bytes)
+			body, err = readOn(httpResp, body, limit)
 		}
 	}
 	if err != nil {
@@ -371,6 +371,18 @@
 	return resp, nil
 }
 
+// readOn reads on after the beginning of a body: up to its end, or one byte more than limit.
+func readOn(httpResp *http.Response, begin []byte, limit int) ([]byte, error) {
+	if httpResp.ContentLength != int64(limit) {
+		more, err := io.ReadAll(io.LimitReader(httpResp.Body, int64(limit+1-len(begin))))
+		return append(begin, more...), err
+	}
+	body := make([]byte, limit)
+	n := copy(body, begin)
+	_, err := io.ReadFull(httpResp.Body, body[n:])
+	return body, err
+}
+
 // keepAliveTimeout returns the timeout in a Keep-Alive header, zero if it has none.
 func keepAliveTimeout(h string) time.Duration {
 	for p := range strings.SplitSeq(h, ",") {
--- a/internal/forwarder/memory.go
+++ b/internal/forwarder/memory.go
@@ -37,7 +37,7 @@
 
 // bufferedLength returns how much of a response body may be buffered, in bytes.
 func bufferedLength(r *http.Response) int64 {
-	if n := r.ContentLength; n >= 0 && n < maxBufferedBody {
+	if n := r.ContentLength; n >= 0 && n <= maxKnownBody {
 		return n
 	}
 	return maxBufferedBody
