--- a/internal/runner/metrics.go
+++ b/internal/runner/metrics.go
@@ -89,11 +89,15 @@
 }
 
 // formatRequestCounts returns the number of requests since the start by reason, in the form "reason:count,...".
-func (m *metrics) formatRequestCounts() string {
-	s := m.requestCounts()
+func (m *metrics) formatRequestCounts() string { return formatCounts(m.requestCounts()) }
+
+// formatCounts formats counts as "name:count,...", without those that are zero.
+func formatCounts[N int64 | float64](counts map[string]N) string {
 	var parts []string
-	for _, r := range slices.Sorted(maps.Keys(s)) {
-		parts = append(parts, fmt.Sprintf("%s:%d", r, s[r]))
+	for _, n := range slices.Sorted(maps.Keys(counts)) {
+		if counts[n] != 0 {
+			parts = append(parts, fmt.Sprintf("%s:%v", n, counts[n]))
+		}
 	}
 	return strings.Join(parts, ",")
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -275,7 +275,8 @@
 func (r *Runner) logSummary() {
 	table, entries := r.tracker.Ages()
 	opened, idle := r.forwarder.Stats()
-	r.Logger.Info("summary", zap.String("requests", r.metrics.formatRequestCounts()), zap.Duration("configurationAge", table),
+	r.Logger.Info("summary", zap.String("requests", r.metrics.formatRequestCounts()),
+		zap.String("hedges", formatCounts(r.receiver.HedgeCounts())), zap.Duration("configurationAge", table),
 		zap.Duration("instancesAge", entries), zap.Int64("connectionsOpened", opened), zap.Int("connectionsKept", idle),
 		zap.Int64("attemptLinesOmitted", r.receiver.OmittedLines()), zap.Int64("startLinesOmitted", r.tracker.OmittedLines()))
 }
