--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -57,6 +57,8 @@
 	peerInFlight map[string]int
 	usage        *usage
 	room         *room
+	// hedges is nil unless hedges have a limit.
+	hedges *Hedges
 }
 
 type service struct {
@@ -123,6 +125,9 @@
 	s := p.service(name)
 	s.budget.Resize(p.RetrySlack, p.VMCount())
 	s.budget.CountRequest(p.Clock.Now())
+	if p.hedges != nil {
+		p.hedges.hedger.CountRequest(p.Clock.Now(), name)
+	}
 }
 
 // trialReserve is the number of retries that a VM must have left to try suspected instances freely: one for the request
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -35,10 +35,11 @@
 	attemptsBurst     = 200
 	// unreadBodyTimeout bounds the time that a connection stays open after a response before the body's end.
 	unreadBodyTimeout = time.Second
-	// hedgeFraction is the fraction of a route's latency objective after which an idempotent request is hedged.
-	hedgeFraction = 0.6
 	// maxIdle is the longest idle time after which a kept connection to an instance may carry a request.
 	maxIdle = 4 * time.Second
+	// overdueFraction is the fraction of a route's latency objective after which a request is overdue. Without
+	// a Hedger, it is hedged then.
+	overdueFraction = 0.6
 	// maxUnsent bounds the attempts of a request that fail before a byte is sent. A VM may have lost its network
 	// paths to a fifth of the instances; five such failures in a row are then rare.
 	maxUnsent = 5
@@ -174,7 +175,9 @@
 	Limiter     Limiter
 	Picker      Picker
 	Sender      Sender
-	Observer    Observer
+	// Hedger limits hedges. If it is nil, a request is hedged once it is overdue, within the retry budget.
+	Hedger   Hedger
+	Observer Observer
 	// MaxKeyAge bounds the age of the configuration by which a key is accepted; up to keyAgeFraction of it is used.
 	MaxKeyAge time.Duration
 	// DrainTimeout is how long an instance that left may still get requests.
@@ -201,6 +204,7 @@
 	// attemptLog bounds the log lines of attempts.
 	attemptLog    *logger.Limiter
 	attemptCounts *attemptCounts
+	hedgeCounts   *hedgeCounts
 	// bodyBytes is the memory reserved for request bodies.
 	bodyBytes atomic.Int64
 }
@@ -210,7 +214,7 @@
 	return &Receiver{
 		Options: o, failedWaits: failedWaits{at: map[string]time.Time{}}, splits: splits{at: map[string]float64{}}, stop: newStop(),
 		answerLog: rate.NewLimiter(answersPerSecond, answersBurst), attemptLog: logger.NewLimiter(attemptsPerSecond, attemptsBurst),
-		attemptCounts: newAttemptCounts(),
+		attemptCounts: newAttemptCounts(), hedgeCounts: newHedgeCounts(),
 	}
 }
 
