Mark a lost leader down though it is tried again each second

The next leader leads only while the lost one is suspected, 1 s, then tries it again; each reign began anew, and none reached the 1.5 s after which silent VMs are marked down.

The time counts from when the VM led first since it last exchanged with another leader, if more than half of the domain's VMs exchange with it: a VM that only lost its link to the leader hears nobody and marks none down (TestVMThatNobodyExchangesWithMarksNoneDown).

--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -61,6 +61,11 @@
 	}
 	k.statementsSequence = statementsSequence
 	r.applyBeliefs(to, leader, began, k, b)
+	if !leader {
+		r.mu.Lock()
+		r.leadsInsteadSince = time.Time{}
+		r.mu.Unlock()
+	}
 	if !leader && b.GetConfigurationKnown() && b.GetInstancesKnown() {
 		r.heardLeader.Store(true)
 	}
--- a/internal/relayer/leader_test.go
+++ b/internal/relayer/leader_test.go
@@ -124,6 +124,63 @@
 	}
 }
 
+// playLostLeader lets the leader of a domain and some others fall silent while the next leader tries it again whenever the
+// suspicion ends. It returns how long the next one took to mark them down, or zero if it did not within 10 s.
+func playLostLeader(t *testing.T, silent int, othersExchange bool) time.Duration {
+	const step, timeout = 100 * time.Millisecond, 400 * time.Millisecond
+	clock := clockwork.NewFakeClock()
+	rs := unequalFleet(clock)[:27]
+	lost, _ := rs[0].leader("d0")
+	next := rs[0]
+	if next.Self.Address == lost.Address {
+		next = rs[1]
+	}
+	asked := clock.Now()
+	for at := time.Duration(0); at < 10*time.Second; at += step {
+		clock.Advance(step)
+		now := clock.Now()
+		for i, r := range rs[2:] {
+			if othersExchange && i >= silent {
+				next.lastExchange[r.Self.Address] = now
+			}
+		}
+		leads := next.IsLeader()
+		next.noteLeadership(leads)
+		switch {
+		case leads:
+			asked = now
+			next.markDown(now)
+		case now.Sub(asked) >= timeout:
+			next.suspect(lost.Address, errStale)
+		}
+		down := 0
+		for _, m := range next.Tracker.Members() {
+			if m.Role == tracker.RoleDown {
+				down++
+			}
+		}
+		require.LessOrEqual(t, down, silent+1)
+		if down == silent+1 {
+			return at
+		}
+	}
+	return 0
+}
+
+// A leader that is lost is tried again each second, which must not keep the next one from marking it and others down.
+func TestLostLeaderIsMarkedDown(t *testing.T) {
+	for _, silent := range []int{0, 9} {
+		took := playLostLeader(t, silent, true)
+		require.NotZero(t, took)
+		require.LessOrEqual(t, took, downAfter+time.Second)
+	}
+}
+
+// A VM that only lost its leader must not take the others for down, as they still exchange with that.
+func TestVMThatNobodyExchangesWithMarksNoneDown(t *testing.T) {
+	require.Zero(t, playLostLeader(t, 0, false))
+}
+
 // VMs that are each cut off from all others must not together grant much more than the rate.
 func TestSharesOfVMsThatAreEachCutOffAddUpToTheRate(t *testing.T) {
 	for _, n := range []int{2, 8, 44, 115} {
--- a/internal/relayer/loops.go
+++ b/internal/relayer/loops.go
@@ -84,7 +84,7 @@
 	for ; ctx.Err() == nil; r.sleep(ctx, tickInterval) {
 		now := r.Clock.Now()
 		leads := r.IsLeader()
-		r.logLeadership(leads)
+		r.noteLeadership(leads)
 		domains := map[string]bool{}
 		for _, m := range r.Tracker.Members() {
 			if leads && m.Domain != r.Self.Domain {
@@ -112,10 +112,13 @@
 	}
 }
 
-// logLeadership logs when this VM becomes the leader of its domain or stops being it.
-func (r *Relayer) logLeadership(leads bool) {
+// noteLeadership records and logs when this VM becomes the leader of its domain or stops being it.
+func (r *Relayer) noteLeadership(leads bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if leads && r.leadsInsteadSince.IsZero() {
+		r.leadsInsteadSince = r.Clock.Now()
+	}
 	if leads == !r.leaderSince.IsZero() {
 		return
 	}
@@ -144,16 +147,17 @@
 // markDown marks the VMs of this domain down that have been silent for more than downAfter. It also drops the outboxes
 // of peers that stopped exchanging.
 func (r *Relayer) markDown(now time.Time) {
+	since := r.hearsSince(now)
 	for _, m := range r.Tracker.Members() {
 		if m.Domain != r.Self.Domain || m.Address == r.Self.Address || m.Role == tracker.RoleDown || m.Role == tracker.RoleLeaving {
 			continue
 		}
 		r.mu.Lock()
 		last := r.lastExchange[m.Address]
-		if last.Before(r.leaderSince) {
-			last = r.leaderSince
-		}
 		r.mu.Unlock()
+		if last.Before(since) {
+			last = since
+		}
 		if m.AsOf.After(last) {
 			last = m.AsOf
 		}
@@ -171,6 +175,27 @@
 	}
 }
 
+// hearsSince returns since when this VM would hear from the other VMs of its domain. A leader that does not answer is tried again
+// every suspectTTL, and leads until that fails: the next one goes by the time since it led first, if most VMs of the domain
+// exchange with it.
+func (r *Relayer) hearsSince(now time.Time) time.Time {
+	all, heard := 0, 1
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, m := range r.Tracker.Members() {
+		if m.Domain == r.Self.Domain && m.Role != tracker.RoleDown && m.Role != tracker.RoleLeaving {
+			all++
+			if m.Address != r.Self.Address && now.Sub(r.lastExchange[m.Address]) < downAfter {
+				heard++
+			}
+		}
+	}
+	if 2*heard > all {
+		return r.leadsInsteadSince
+	}
+	return r.leaderSince
+}
+
 // poller is a loop that reads one kind of data from the store.
 type poller struct {
 	name string
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -70,6 +70,8 @@
 	lastExchange map[netip.AddrPort]time.Time
 	// leaderSince is when this VM became the leader of its domain; zero while it is not.
 	leaderSince time.Time
+	// leadsInsteadSince is when this VM led first since it last heard from another leader; zero if it has not led since.
+	leadsInsteadSince time.Time
 	// outgoing collects this VM's observations for its leader.
 	outgoing outbox
 	// outboxes collect the observations of this and other VMs for the peers that exchange with this one.
