--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,7 @@
 	go test ./platform -run XXX -fuzz FuzzDecodeRegistration -fuzztime $(FUZZTIME)
 	go test ./platform -run XXX -fuzz FuzzDecodeRecords -fuzztime $(FUZZTIME)
 	go test ./internal/relayer -run XXX -fuzz FuzzMessagesOfPeers -fuzztime $(FUZZTIME)
+	go test ./internal/forwarder -run XXX -fuzz FuzzReadResponse -fuzztime $(FUZZTIME)
 
 demo: build
 	bash scripts/demo.sh
--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -209,12 +209,12 @@
 	{"server sends no whole answers", false, func(f *fleet, r *rand.Rand) (func(), string) {
 		s := f.randomServer(r)
 		s.mu.Lock()
-		s.endlessShare, s.headCutShare = r.Float64()/2, r.Float64()/2
+		s.endlessShare, s.headCutShare, s.noStatusShare = r.Float64()/2, r.Float64()/2, r.Float64()/2
 		s.mu.Unlock()
 		return func() {
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			s.endlessShare, s.headCutShare = 0, 0
+			s.endlessShare, s.headCutShare, s.noStatusShare = 0, 0, 0
 		}, s.ID
 	}},
 	{"server sends refusals of no request", false, func(f *fleet, r *rand.Rand) (func(), string) {
--- a/cmd/soak/server.go
+++ b/cmd/soak/server.go
@@ -48,9 +48,9 @@
 	// earlyShare is the share of requests that are answered before their body is read.
 	earlyShare float64
 	extraDelay time.Duration
-	// pauseShare is the share of requests that are refused with a pause, endlessShare of those that get bytes without end, and
-	// headCutShare of those whose answer ends in its head.
-	pauseShare, endlessShare, headCutShare float64
+	// pauseShare is the share of requests that are refused with a pause, endlessShare of those that get bytes without end,
+	// headCutShare of those whose answer ends in its head, and noStatusShare of those whose response has a status that is none.
+	pauseShare, endlessShare, headCutShare, noStatusShare float64
 	// strayShare is the share of answers with a refusal that names no request before them.
 	strayShare float64
 }
@@ -160,6 +160,8 @@
 		p.respond = emulator.Endless("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n\r\n", "x")
 	case r.Float64() < s.headCutShare:
 		p.respond = emulator.CutHead(func(n int) int { return int(headPart * float64(n)) })
+	case s.noStatusShare > 0 && r.Float64() < s.noStatusShare:
+		p.respond = emulator.WithStatus(invalidStatuses[r.IntN(len(invalidStatuses))])
 	case x < s.failShare:
 		p.respond = emulator.Fail
 	case x < s.failShare+s.hangShare:
@@ -195,6 +197,9 @@
 	s.atWork--
 }
 
+// invalidStatuses are statuses that no final response has.
+var invalidStatuses = []string{"000", "001", "099", "101", "600", "999"}
+
 // refusalStatuses are the statuses with which a server refuses a request.
 var refusalStatuses = []int{http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusBadRequest}
 
--- a/cmd/standin/emulator/instance.go
+++ b/cmd/standin/emulator/instance.go
@@ -398,6 +398,16 @@
 	}
 }
 
+// WithStatus returns a behavior that executes the request and responds with a status, which may be none that a response can have,
+// and a body that looks like another response to the request.
+func WithStatus(status string) Behavior {
+	return func(c net.Conn, r *http.Request, _ *Instance) {
+		id := r.Header.Get("Request-Id")
+		body := responseHead(id, http.StatusOK, "", "inner") + "inner"
+		writeLast(c, strings.Replace(responseHead(id, http.StatusOK, "", body), "200 X", status+" X", 1)+body)
+	}
+}
+
 // AnswerTwice sends the response and then a duplicate of it on the same connection.
 func AnswerTwice(c net.Conn, r *http.Request, i *Instance) {
 	Answer(c, r, i)
--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/jacinthproxy/jacinthproxy/internal/dispatcher"
+	"github.com/jacinthproxy/jacinthproxy/internal/forwarder"
 	"github.com/jacinthproxy/jacinthproxy/pkg/asserter"
 )
 
@@ -43,6 +44,9 @@
 
 // respond reports the answer to the Observer and writes it to the caller.
 func (x *exchange) respond(a dispatcher.Answer) error {
+	if a.Outcome == dispatcher.OutcomeAnswered && !forwarder.IsFinal(a.Status) {
+		a = withoutStatus(a)
+	}
 	if a.Status == 0 {
 		a.Status = reasonStatuses[a.Reason]
 	}
@@ -59,6 +63,14 @@
 	return x.writeResponse(a)
 }
 
+// withoutStatus replaces an answer whose status no response can have, as an older dispatcher or a record may pass on.
+func withoutStatus(a dispatcher.Answer) dispatcher.Answer {
+	if a.Rest != nil {
+		_ = a.Rest.Close()
+	}
+	return dispatcher.Answer{Outcome: dispatcher.OutcomeUnknown, Reason: dispatcher.ReasonFailed, Detail: forwarder.ErrNoStatus.Error()}
+}
+
 // refusalBody is the JSON body of a response to a refused request.
 type refusalBody struct {
 	Outcome   dispatcher.Outcome `json:"outcome"`
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -99,6 +99,20 @@
 	return f
 }
 
+// Whatever a dispatcher or a record holds, the caller gets a status that a response can have, and is told that nothing is certain.
+func TestStatusThatNoResponseHasIsNotWritten(t *testing.T) {
+	for _, status := range []int{0, 1, 99, 101, 600, 999} {
+		f := newFixture(t)
+		f.answer = func(dispatcher.Request) dispatcher.Answer {
+			return dispatcher.Answer{Outcome: dispatcher.OutcomeAnswered, Status: status, Body: []byte("text")}
+		}
+		r, body := f.do(t, http.MethodPost, "/t/x", "hello")
+		require.Equal(t, http.StatusBadGateway, r.StatusCode, status)
+		require.Equal(t, dispatcher.OutcomeUnknown.String(), r.Header.Get(caller.HeaderOutcome))
+		require.NotContains(t, body, "text")
+	}
+}
+
 func (f *fixture) do(t *testing.T, method, path, body string, headers ...string) (*http.Response, string) {
 	t.Helper()
 	req, err := http.NewRequest(method, f.URL+path, strings.NewReader(body))
--- a/internal/dispatcher/backend.go
+++ b/internal/dispatcher/backend.go
@@ -145,6 +145,15 @@
 	return t.conn != nil && t.conn.written.Load() != t.writtenBefore, t.reused, t.longIdle
 }
 
+// closeConn closes the connection that a request used. The transport may already have kept it for others.
+func (t *trace) closeConn() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.conn != nil {
+		_ = t.conn.Close()
+	}
+}
+
 // send sends a request and returns the response. An error marked errNotStarted means that the backend server
 // certainly did not start the request.
 func (b *backend) send(ctx context.Context, r Request) (Answer, error) {
@@ -164,6 +173,9 @@
 	a, err := b.receive(r, resp)
 	if err != nil {
 		_ = resp.Body.Close()
+		if errors.Is(err, forwarder.ErrNoStatus) {
+			t.closeConn()
+		}
 		if errors.Is(err, errNotStarted) {
 			return a, err
 		}
@@ -195,6 +207,9 @@
 	if forwarder.Spliced(resp) {
 		return Answer{}, errSpliced
 	}
+	if err := forwarder.CheckStatus(resp); err != nil {
+		return Answer{}, err
+	}
 	id := resp.Header.Get(HeaderRequestID)
 	if id == r.ID {
 		b.echoesIDs.Store(true)
@@ -242,7 +257,8 @@
 func (b *backend) probe(ctx context.Context, path string) (draining bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+b.address.String()+path, nil)
+	var t trace
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, t.hooks()), http.MethodGet, "http://"+b.address.String()+path, nil)
 	if err != nil {
 		return false, err
 	}
@@ -253,6 +269,10 @@
 		return false, err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if err := forwarder.CheckStatus(resp); err != nil {
+		t.closeConn()
+		return false, err
+	}
 	if got := resp.Header.Get(HeaderRequestID); got != "" && got != id {
 		return false, errors.Wrapf(errRequestIDMismatch, "id %q came for %q", got, id)
 	}
--- a/internal/dispatcher/backend_test.go
+++ b/internal/dispatcher/backend_test.go
@@ -1,12 +1,18 @@
 package dispatcher
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"runtime"
+	"strconv"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -134,3 +140,83 @@
 	require.Error(t, err)
 	require.False(t, errors.Is(err, errNotStarted), err)
 }
+
+// newScriptedServer starts a backend server that writes the same bytes for the nth request of a connection on every connection.
+func newScriptedServer(t *testing.T, script ...string) (a netip.AddrPort, opened *atomic.Int32) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	opened = &atomic.Int32{}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			opened.Add(1)
+			go func() {
+				defer func() { _ = c.Close() }()
+				r := bufio.NewReader(c)
+				for _, s := range script {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, req.Body)
+					if _, err := io.WriteString(c, strings.ReplaceAll(s, "ID", req.Header.Get(HeaderRequestID))); err != nil {
+						return
+					}
+				}
+				_, _ = r.ReadByte()
+			}()
+		}
+	}()
+	return netip.MustParseAddrPort(l.Addr().String()), opened
+}
+
+// Bytes without a valid status must be no answer, nor what follows them, nor say how the backend server is.
+func TestResponseWithoutStatusIsNoAnswer(t *testing.T) {
+	const own = "HTTP/1.1 200 OK\r\n" + HeaderRequestID + ": ID\r\nContent-Length: 3\r\n\r\nown"
+	for _, status := range []string{"000", "001", "099", "101", "600", "999", "+20", "-20", "20", "abc"} {
+		for name, rest := range map[string]string{
+			"no body":               "Content-Length: 0\r\n\r\n",
+			"no ID":                 "Content-Length: 4\r\n\r\ntext",
+			"body":                  HeaderRequestID + ": ID\r\nContent-Length: 4\r\n\r\ntext",
+			"response as body":      HeaderRequestID + ": ID\r\nContent-Length: " + strconv.Itoa(len(own)) + "\r\n\r\n" + own,
+			"response behind":       HeaderRequestID + ": ID\r\nContent-Length: 0\r\n\r\n" + own,
+			"switched":              HeaderRequestID + ": ID\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n" + own,
+			"to the end":            HeaderRequestID + ": ID\r\nConnection: close\r\n\r\n" + own,
+			"states that it leaves": HeaderRequestID + ": ID\r\n" + HeaderState + ": " + stateDraining + "\r\nContent-Length: 0\r\n\r\n",
+		} {
+			for _, kept := range []bool{false, true} {
+				what := fmt.Sprint(status, ", ", name, ", kept ", kept)
+				script := []string{"HTTP/1.1 " + status + " X\r\n" + rest, own}
+				if kept {
+					script = append([]string{own}, script...)
+				}
+				a, opened := newScriptedServer(t, script...)
+				b := newBackend(a)
+				send := func(id string) (Answer, error) {
+					return b.send(t.Context(), Request{ID: id, Method: http.MethodPost, Target: "/"})
+				}
+				if kept {
+					_, err := send("1")
+					require.NoError(t, err, what)
+				}
+				got, err := send("2")
+				require.Error(t, err, "%s: %+v", what, got)
+				require.False(t, errors.Is(err, errNotStarted), what)
+				got, err = send("3")
+				require.Equal(t, kept, err == nil, "%s: %+v", what, got)
+				require.EqualValues(t, 2, opened.Load(), "%s: the connection was used again", what)
+				if kept {
+					draining, err := b.probe(t.Context(), "/health")
+					require.Error(t, err, what)
+					require.False(t, draining, what)
+					require.False(t, errors.Is(err, errUnhealthy), what)
+				}
+				b.close()
+			}
+		}
+	}
+}
--- a/internal/follower/log.go
+++ b/internal/follower/log.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/jacinthproxy/jacinthproxy/internal/forwarder"
 )
 
 // Names of the log's streams.
@@ -92,6 +94,11 @@
 		return err
 	}
 	defer func() { _ = rep.Body.Close() }()
+	if err := forwarder.CheckStatus(rep); err != nil {
+		_ = rep.Body.Close()
+		client.CloseIdleConnections()
+		return err
+	}
 	body, err := io.ReadAll(io.LimitReader(rep.Body, maxResponseBytes))
 	if err != nil {
 		return err
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -277,8 +277,12 @@
 		if Spliced(httpResp) {
 			return Response{}, errors.New("the answer begins with a part of another one")
 		}
+		interim := isInterim(httpResp.StatusCode)
+		if err := CheckStatus(httpResp); err != nil && !interim {
+			return Response{}, err
+		}
 		leaving = leaving || f.statesLeaving(httpResp)
-		if httpResp.StatusCode < http.StatusOK && httpResp.StatusCode != http.StatusSwitchingProtocols {
+		if interim {
 			continue
 		}
 		if id := httpResp.Header.Get(f.headers.RequestID); id != r.ID {
--- a/internal/receiver/exchange.go
+++ b/internal/receiver/exchange.go
@@ -299,6 +299,9 @@
 // finish responds to the caller, counts the request, and logs it unless it ended well at the first instance. It
 // panics with http.ErrAbortHandler if the caller disconnected.
 func (x *exchange) finish(res result) {
+	if res.response != nil && !forwarder.IsFinal(res.status) {
+		res = refuse(ReasonBroken, http.StatusBadGateway, forwarder.ErrNoStatus.Error())
+	}
 	took := x.Clock.Since(x.arrivedAt)
 	name := ""
 	if x.route != nil {
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -322,6 +322,20 @@
 	}
 }
 
+// Whatever a sender returns, the caller gets a status that a response can have.
+func TestStatusThatNoResponseHasIsNotWritten(t *testing.T) {
+	for _, status := range []int{0, 1, 99, 101, 600, 999} {
+		f := newFixture()
+		f.respond = func(int) (forwarder.Response, error) {
+			return forwarder.Response{Status: status, Signed: true, Header: http.Header{"Sig": {"e"}}, Body: []byte("text")}, nil
+		}
+		rec := f.serve("/once/", "secret")
+		require.Equal(t, http.StatusBadGateway, rec.Code, status)
+		require.NotContains(t, rec.Body.String(), "text")
+		require.Empty(t, rec.Header().Get("Sig"))
+	}
+}
+
 func TestErrorResponseKeepsItsSignature(t *testing.T) {
 	f := newFixture()
 	f.respond = func(int) (forwarder.Response, error) {
--- a/internal/server/cluster_test.go
+++ b/internal/server/cluster_test.go
@@ -21,6 +21,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/jacinthproxy/jacinthproxy/internal/caller"
+	"github.com/jacinthproxy/jacinthproxy/internal/dispatcher"
 	"github.com/jacinthproxy/jacinthproxy/internal/follower"
 	"github.com/jacinthproxy/jacinthproxy/internal/publisher"
 	"github.com/jacinthproxy/jacinthproxy/internal/watcher"
@@ -113,6 +114,8 @@
 	runs     sync.Map
 	linksCut sync.Map
 	workTime atomic.Int64
+	// status is a status that the backend server writes instead of its own.
+	status   atomic.Value
 	received bytes.Buffer
 	logs     bytes.Buffer
 	mu       sync.Mutex
@@ -162,10 +165,26 @@
 	c.mu.Unlock()
 	n, _ := c.runs.LoadOrStore(r.Header.Get("X-Job"), new(atomic.Int64))
 	n.(*atomic.Int64).Add(1)
+	if s, _ := c.status.Load().(string); s != "" {
+		respondWithStatus(w, r, s)
+		return
+	}
 	<-time.After(time.Duration(c.workTime.Load()))
 	_, _ = io.WriteString(w, "job "+r.Header.Get("X-Job"))
 }
 
+// respondWithStatus writes a response with a status that need not be one.
+func respondWithStatus(w http.ResponseWriter, r *http.Request, status string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	id := dispatcher.HeaderRequestID + ": " + r.Header.Get(dispatcher.HeaderRequestID) + "\r\n"
+	body := "HTTP/1.1 200 OK\r\n" + id + "Content-Length: 5\r\n\r\ninner"
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s X\r\n%sContent-Length: %d\r\n\r\n%s", status, id, len(body), body)
+}
+
 // Write collects the daemons' log output.
 func (c *cluster) Write(p []byte) (int, error) {
 	c.mu.Lock()
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -56,6 +56,26 @@
 	}
 }
 
+// A response whose status is none is no answer: the request may have run.
+func TestResponsesWithoutStatusReachNoCaller(t *testing.T) {
+	c := newCluster(t, 3)
+	for i, status := range []string{"000", "001", "099", "101", "600", "999"} {
+		c.status.Store(status)
+		job := "status-" + status
+		r, err := c.send(i%3, http.MethodPost, "/t/post/x", "X-Job", job)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusBadGateway, r.status, "%s: %s", status, r.body)
+		require.Equal(t, "unknown", r.outcome)
+		require.NotContains(t, r.body, "inner")
+		n, _ := c.runs.Load(job)
+		require.EqualValues(t, 1, n.(*atomic.Int64).Load())
+		r, err = c.send(i%3, http.MethodGet, "/t/get/x")
+		require.NoError(t, err)
+		require.NotEqual(t, http.StatusOK, r.status, "%s: %s", status, r.body)
+		require.NotContains(t, r.body, "inner")
+	}
+}
+
 // TestHTTP2 checks that callers can use unencrypted HTTP/2.
 func TestHTTP2(t *testing.T) {
 	c := newCluster(t, 1)
