Lend VMs what they admit while the owner of a rate does not answer

The owner lends each VM that asks for a token some more for that case, as a bound on the count of what the VM ever admitted alone. What is lent and not reported, what is reported and what was granted stay together within the limit and 0.055 of it and 10; the rest of the rule's tolerance covers what VMs admit beyond loans, which now accrues from the first failure on.

--- a/internal/relayer/constants.go
+++ b/internal/relayer/constants.go
@@ -101,15 +101,18 @@
 	coldStartSeconds = 1.0
 	// lostBucketTTL is how long the bucket of an account is kept after another VM became its owner.
 	lostBucketTTL = time.Minute
-	// fallbackRateShare is the share of an account's rate that all VMs together admit without its owner. The rate
-	// rule allows a tenth above the rate, and its tolerance.
-	fallbackRateShare = 0.15
-	// fallbackBurst is how many requests of an account one VM admits at once without its owner.
-	fallbackBurst = 1
-	// grantWindow is the span over which an owner's grants to this VM are counted, and how long after the last grant
-	// this VM continues at that rate without the owner. The grants to all VMs together were within the rate, and a
-	// new owner is known by then.
-	grantWindow = 1500 * time.Millisecond
+	// connectedRateShare and isolatedRateShare are the shares of an account's rate that all VMs together admit without its
+	// owner and beyond loans: VMs that reach more than connectedShare of the fleet, and others. An owner counts with the latter.
+	connectedRateShare = 0.05
+	isolatedRateShare  = 0.15
+	connectedShare     = 0.5
+	// Where a fleet has more VMs than maxLoneVMs and than the account's rate, they admit nothing beyond loans: a third of them,
+	// each with one request, would exceed the tolerance of the rate rule.
+	maxLoneVMs = 60.0
+	// An owner lends loanShare of what an account may get in a window, and loanTokens, beyond the rate. It is half of the tolerance
+	// of the rate rule, as the next owner may be lost as well.
+	loanShare  = 0.055
+	loanTokens = 10
 	// The bucket of an instance's limit holds limitBurst tokens and limitBurstSeconds of the VM's share of the limit. It
 	// starts with the VM's share of limitBurst: many VMs that are each cut off would add up a token each.
 	limitBurst        = 1
--- a/internal/relayer/rates.go
+++ b/internal/relayer/rates.go
@@ -25,8 +25,8 @@
 	buckets map[string]*rateBucket
 	// placedAt is when place was called last.
 	placedAt time.Time
-	// fallbacks hold the accounts' state for admission while their owners do not answer.
-	fallbacks map[string]*fallback
+	// borrowers admit requests of accounts while their owners do not answer.
+	borrowers map[string]*limiter.Borrower
 }
 
 // rateBucket is the state of an account's rate.
@@ -39,7 +39,7 @@
 }
 
 func newRates(r *Relayer) *rates {
-	return &rates{relayer: r, buckets: map[string]*rateBucket{}, fallbacks: map[string]*fallback{}}
+	return &rates{relayer: r, buckets: map[string]*rateBucket{}, borrowers: map[string]*limiter.Borrower{}}
 }
 
 // Admission is the decision on one request of an account.
@@ -83,15 +83,18 @@
 	}
 	var t *wire.Taken
 	var err error
+	askedAt := r.Clock.Now()
+	q := &wire.Take{Account: a.Name, Want: 1}
 	if o.Address == r.Self.Address {
-		t, err = r.rates.grant(a.Name, 1)
+		t, err = r.rates.grant(r.Self, q)
 	} else {
-		t, err = r.takeFromOwner(ctx, o, &wire.Request{Body: &wire.Request_Take{Take: &wire.Take{Account: a.Name, Want: 1}}})
+		q = r.rates.ask(a.Name)
+		t, err = r.takeFromOwner(ctx, o, &wire.Request{Body: &wire.Request_Take{Take: q}})
 	}
 	if err != nil {
 		return r.rates.admitWithoutOwner(a)
 	}
-	r.rates.recordGrant(a.Name, t.GetTokens())
+	r.rates.recordAnswer(q, t, askedAt)
 	return admission(t, o.ID())
 }
 
@@ -113,10 +116,10 @@
 	return Admission{Admitted: t.GetTokens() > 0, RetryAfter: time.Duration(t.GetNextMs()) * time.Millisecond, Owner: owner}
 }
 
-// grant takes up to want tokens from the bucket of an account that this VM owns, and creates the bucket if there is
-// none.
-func (s *rates) grant(account string, want int) (*wire.Taken, error) {
-	l, err := s.ownedLimit(account)
+// grant takes tokens from the bucket of an account that this VM owns, and creates the bucket if there is none. It lends the VM
+// that asks some more for the time in which this one does not answer.
+func (s *rates) grant(from placer.VM, t *wire.Take) (*wire.Taken, error) {
+	l, err := s.ownedLimit(t.GetAccount())
 	if err != nil {
 		return nil, err
 	}
@@ -125,13 +128,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.relayer.Clock.Now()
-	b := s.bucket(now, account, l)
+	b := s.bucket(now, t.GetAccount(), l)
 	b.SetShare(now, share)
-	if n := b.Take(now, want); n > 0 {
+	rep := &wire.Taken{Tokens: uint32(b.Take(now, int(t.GetWant())))}
+	if rep.GetTokens() > 0 {
 		b.reportedTo = placer.VM{}
-		return &wire.Taken{Tokens: uint32(n)}, nil
+	} else {
+		rep.NextMs = uint32(b.RetryAfter(now).Milliseconds() + 1)
+	}
+	if t.GetNumber() > 0 {
+		q := limiter.Question{Number: t.GetNumber(), Used: t.GetUsed(), Alone: t.GetAlone(), Want: limiter.Tokens(t.GetWantAlone())}
+		rep.MaxAlone = b.Lend(now, from, q, loanShare*(l.Refill(s.relayer.RateWindow)+l.Burst)+loanTokens)
 	}
-	return &wire.Taken{NextMs: uint32(b.RetryAfter(now).Milliseconds() + 1)}, nil
+	return rep, nil
 }
 
 // ownedLimit returns the limit of an account, or an error if this VM must not own its rate now.
@@ -155,13 +164,16 @@
 	r := s.relayer
 	b := s.buckets[account]
 	if b == nil {
-		initial := initialSeconds
-		if r.coldStart() {
+		initial, cold := initialSeconds, r.coldStart()
+		if cold {
 			initial = coldStartSeconds
 		}
 		b = &rateBucket{
 			WindowLimiter: limiter.NewWindowLimiter(now, r.RateWindow, l, limiter.Tokens(initialTokens+initial*l.Rate)), ownedAt: now,
 		}
+		if cold {
+			b.StartLending()
+		}
 		s.buckets[account] = b
 		r.Logger.Info("owning rate", zap.String("account", account), zap.Float64("rate", l.Rate))
 	}
@@ -303,58 +315,3 @@
 	}
 	return limiter.Limit{Rate: a.Rate, Burst: limiter.Tokens(max(1, a.Burst))}, true
 }
-
-// fallback is the state from which a VM admits requests of an account without its owner.
-type fallback struct {
-	bucket *limiter.Bucket
-	// granted counts the tokens that the owner granted since windowStart, and grantedBefore those of the window before.
-	granted, grantedBefore uint32
-	windowStart            time.Time
-	grantedAt              time.Time
-}
-
-func (s *rates) fallback(now time.Time, account string) *fallback {
-	l := s.fallbacks[account]
-	if l == nil {
-		l = &fallback{windowStart: now}
-		s.fallbacks[account] = l
-	}
-	if now.Sub(l.windowStart) > grantWindow {
-		l.grantedBefore, l.granted, l.windowStart = l.granted, 0, now
-	}
-	return l
-}
-
-// recordGrant records tokens granted by an account's owner.
-func (s *rates) recordGrant(account string, n uint32) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.relayer.Clock.Now()
-	l := s.fallback(now, account)
-	l.granted += n
-	l.grantedAt = now
-}
-
-// admitWithoutOwner admits a request without the account's owner. It admits this VM's part of fallbackRateShare and,
-// for grantWindow after the last grant, also the rate that was recently granted to this VM.
-func (s *rates) admitWithoutOwner(a *router.Account) Admission {
-	r := s.relayer
-	n := float64(max(1, len(r.Tracker.Members())))
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := r.Clock.Now()
-	l := s.fallback(now, a.Name)
-	limit := limiter.Limit{Rate: fallbackRateShare * a.Rate / n, Burst: fallbackBurst}
-	if now.Sub(l.grantedAt) < grantWindow {
-		limit.Rate += float64(max(l.granted, l.grantedBefore)) / grantWindow.Seconds()
-	}
-	if l.bucket == nil {
-		l.bucket = limiter.NewBucket(now, limit, fallbackBurst)
-	}
-	l.bucket.SetLimit(now, limit)
-	if l.bucket.Level(now) >= 1 {
-		l.bucket.Take(now, 1, nil)
-		return Admission{Admitted: true}
-	}
-	return Admission{RetryAfter: time.Duration(float64(1-l.bucket.Level(now)) / limit.Rate * float64(time.Second))}
-}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -347,7 +347,7 @@
 		p, err := r.handleFetch(ctx, b.FetchConfiguration)
 		return &wire.Reply{Body: &wire.Reply_ConfigurationPart{ConfigurationPart: p}}, nil, err
 	case *wire.Request_Take:
-		t, err := r.rates.grant(b.Take.GetAccount(), int(b.Take.GetWant()))
+		t, err := r.rates.grant(from, b.Take)
 		return takenReply(t), nil, err
 	case *wire.Request_Granted:
 		return takenReply(&wire.Taken{}), nil, r.rates.handleGranted(from, b.Granted)
--- a/pkg/limiter/window.go
+++ b/pkg/limiter/window.go
@@ -18,6 +18,9 @@
 	// own counts only what this limiter granted, and reported by sender what other limiters reported of theirs.
 	own      *WindowCounter
 	reported map[placer.VM]*WindowCounter
+	// alone counts what other VMs reported that they granted without an owner, and lender what they may grant so.
+	alone  *WindowCounter
+	lender *lender
 	// share is the share of the limit that this limiter may grant, last set at sharedAt and last lowered at loweredAt.
 	share               float64
 	sharedAt, loweredAt time.Time
@@ -29,6 +32,7 @@
 	w := &WindowLimiter{
 		limit: l, granted: NewWindowCounter(now, window), others: NewWindowCounter(now, window), share: 1, sharedAt: now,
 		own: NewWindowCounter(now, window), reported: map[placer.VM]*WindowCounter{},
+		alone: NewWindowCounter(now, window), lender: newLender(now, window),
 	}
 	w.bucket = NewBucket(now, w.pacingLimit(l), initial)
 	preGranted := max(0, w.maxPerWindow()-initial)
@@ -51,6 +55,9 @@
 	case share > w.share:
 		saved := min(1, now.Sub(w.loweredAt).Seconds()/w.others.length.Seconds())
 		w.others.Add(now, Tokens((share-w.share)*saved)*w.limit.Burst)
+		if w.share <= 0 {
+			w.lender.since = now // Another owner may have lent tokens.
+		}
 	}
 	w.share, w.sharedAt = share, now
 }
@@ -74,9 +81,9 @@
 	w.reported[from] = c
 }
 
-// known returns the tokens that this limiter and those that reported granted in the window that ends at now.
+// known returns the tokens that this limiter and all that reported granted in the window that ends at now.
 func (w *WindowLimiter) known(now time.Time) Tokens {
-	sum := w.own.Sum(now)
+	sum := w.own.Sum(now) + w.alone.Sum(now)
 	for from, c := range w.reported {
 		n := c.Sum(now)
 		if n <= epsilon {
@@ -87,6 +94,13 @@
 	return sum
 }
 
+// committed returns the tokens that are known to be granted in the window that ends at now, and those that are lent beyond the
+// reserve.
+func (w *WindowLimiter) committed(now time.Time) Tokens {
+	w.lender.sweep(now)
+	return w.known(now) + max(0, w.lender.lent-w.lender.reserve)
+}
+
 // maxPerWindow returns the most tokens that may be granted in one window.
 func (w *WindowLimiter) maxPerWindow() Tokens {
 	return w.limit.Refill(w.granted.length) + w.limit.Burst
@@ -110,6 +124,7 @@
 		w.granted.Scale(after / before)
 		w.others.Scale(after / before)
 		w.own.Scale(after / before)
+		w.alone.Scale(after / before)
 		for _, c := range w.reported {
 			c.Scale(after / before)
 		}
@@ -119,7 +134,7 @@
 // Take grants up to n whole tokens and returns how many. It keeps the tokens granted in a window within this limiter's share of
 // what the window allows, and those of all limiters within the whole.
 func (w *WindowLimiter) Take(now time.Time, n int) int {
-	got := min(n, int(w.bucket.Level(now)+epsilon), int(w.remaining(w.granted.Sum(now), w.others.Sum(now), w.known(now))+epsilon))
+	got := min(n, int(w.bucket.Level(now)+epsilon), int(w.remaining(w.granted.Sum(now), w.others.Sum(now), w.committed(now))+epsilon))
 	if got <= 0 {
 		return 0
 	}
@@ -129,11 +144,11 @@
 	return got
 }
 
-// remaining returns how many tokens may still be granted in a window in which this limiter and others granted some, and known
-// are those that are known to be granted; it is negative if the share was exceeded.
-func (w *WindowLimiter) remaining(granted, others, known Tokens) Tokens {
+// remaining returns how many tokens may still be granted in a window in which this limiter and others granted some, and committed
+// are those of which this limiter knows; it is negative if the share was exceeded.
+func (w *WindowLimiter) remaining(granted, others, committed Tokens) Tokens {
 	most := w.maxPerWindow()
-	return min(min(Tokens(w.share)*most, max(0, most-others))-granted, most-known)
+	return min(min(Tokens(w.share)*most, max(0, most-others))-granted, most-committed)
 }
 
 // RetryAfter returns the time until Take can grant a token, if no other is taken before and the share stays. It is the length of
@@ -143,13 +158,13 @@
 		return w.granted.length
 	}
 	wait := time.Duration(float64(1-w.bucket.Level(now)) / w.pacingLimit(w.limit).Rate * float64(time.Second))
-	granted, others, known := w.granted.Sum(now), w.others.Sum(now), w.known(now)
-	for i := int64(1); w.remaining(granted, others, known) < 1 && i <= int64(len(w.granted.counts)); i++ {
+	granted, others, committed := w.granted.Sum(now), w.others.Sum(now), w.committed(now)
+	for i := int64(1); w.remaining(granted, others, committed) < 1 && i <= int64(len(w.granted.counts)); i++ {
 		granted -= *w.granted.count(w.granted.lastSlot + i)
 		others -= *w.others.count(w.others.lastSlot + i)
-		known -= *w.own.count(w.own.lastSlot + i)
+		committed -= *w.own.count(w.own.lastSlot + i) + *w.alone.count(w.alone.lastSlot + i)
 		for _, c := range w.reported {
-			known -= *c.count(c.lastSlot + i)
+			committed -= *c.count(c.lastSlot + i)
 		}
 		wait = max(wait, time.Duration(i)*w.granted.length/slotsPerWindow)
 	}
