--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -74,6 +74,8 @@
 	lastExchange map[netip.AddrPort]time.Time
 	// leaderSince is when this VM became the leader of its domain; zero while it is not.
 	leaderSince time.Time
+	// leadsInsteadSince is when this VM led first since it last heard from another leader; zero if it has not led since.
+	leadsInsteadSince time.Time
 	// outgoing collects this VM's observations for its leader.
 	outgoing outbox
 	// outboxes collect the observations of this and other VMs for the peers that exchange with this one.
@@ -355,7 +357,7 @@
 		p, err := r.handleFetch(ctx, b.FetchConfiguration)
 		return &wire.Reply{Body: &wire.Reply_ConfigurationPart{ConfigurationPart: p}}, nil, err
 	case *wire.Request_Take:
-		t, err := r.rates.grant(b.Take.GetAccount(), int(b.Take.GetWant()))
+		t, err := r.rates.grant(from, b.Take)
 		return takenReply(t), nil, err
 	case *wire.Request_Granted:
 		return takenReply(&wire.Taken{}), nil, r.rates.handleGranted(from, b.Granted)
