Play drained failure domains and cold servers in the soak

The stand-in's heartbeats say how long an instance warms up.

TestCheckerFindsEachViolation covers both checks.

--- a/cmd/soak/checker.go
+++ b/cmd/soak/checker.go
@@ -27,6 +27,8 @@
 	guaranteePlannedStop          guarantee = "a planned stop interrupts no request"
 	guaranteeRecovery             guarantee = "all daemons are ready again after the faults"
 	guaranteeLimit                guarantee = "a backend server gets no more requests than the limit that it states allows"
+	guaranteeWarmup               guarantee = "a backend server that warms up gets no more requests than its service allows"
+	guaranteeDrained              guarantee = "nothing is sent to a drained failure domain"
 	guaranteeRoute                guarantee = "a request runs only at a service of its route"
 	guaranteeStatedLeaving        guarantee = "a daemon sends nothing to a backend server that said in its answers that it leaves"
 	guaranteePause                guarantee = "a daemon sends nothing to a backend server for as long as it asked"
@@ -41,7 +43,7 @@
 var timeBound = []guarantee{
 	guaranteeKeyWithdrawn, guaranteeRate, guaranteeDrain, guaranteeConfigurationApplied, guaranteePlannedStop,
 	guaranteeRecovery, guaranteeLimit, guaranteeStatedLeaving, guaranteePause, guaranteeRepeats,
-	guaranteeDeadline,
+	guaranteeDeadline, guaranteeWarmup, guaranteeDrained,
 }
 
 // The bounds of the checks. revocationBound is the RevocationS, and rateWindow the QuotaWindowS, of the daemons'
@@ -101,6 +103,9 @@
 	leavingSince map[string]time.Time
 	// limited holds the backend servers that state a limit.
 	limited map[string]*limitedServer
+	// drained holds the drained failure domains, and warming the backend servers that say that they warm up.
+	drained drainedDomains
+	warming map[string]*warmingServer
 	// statements are what daemons were told by backend servers.
 	statements map[hop]*statement
 	// repeats holds the times of the arrivals beyond the first of each request, by service.
@@ -116,7 +121,7 @@
 func newChecker(limits map[string]float64) *checker {
 	return &checker{
 		requests: map[string]*request{}, limits: limits, runTimes: map[string][]time.Time{},
-		withdrawnAt: map[string]time.Time{}, leavingSince: map[string]time.Time{}, limited: map[string]*limitedServer{}, statements: map[hop]*statement{}, repeats: map[string][]time.Time{}, newestApplied: map[string]int{}, violations: map[guarantee][]string{},
+		withdrawnAt: map[string]time.Time{}, leavingSince: map[string]time.Time{}, limited: map[string]*limitedServer{}, drained: drainedDomains{}, warming: map[string]*warmingServer{}, statements: map[hop]*statement{}, repeats: map[string][]time.Time{}, newestApplied: map[string]int{}, violations: map[guarantee][]string{},
 	}
 }
 
@@ -226,6 +231,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.checkStatements(server, service, id, at)
+	c.countWarmupArrival(server, at)
 	l := c.limited[server]
 	if l == nil || at.Sub(l.since) < limitSettleTime || at.Sub(c.lastDisturbance) < settleTime {
 		return
--- a/cmd/soak/checker_test.go
+++ b/cmd/soak/checker_test.go
@@ -40,6 +40,27 @@
 			c.recordAnswer("once", answer{status: 429}, "p")
 			c.recordRun("once", "a", "", "i", "ledger", start)
 		}, func(c *checker) { c.recordAnswer("once", answer{status: 429}, "p") }},
+		{guaranteeDrained, func(c *checker) {
+			c.recordDrained("a", start)
+			c.recordDomainArrival("a", "safe", at(drainedBound+time.Millisecond))
+		}, func(c *checker) {
+			c.recordDrained("a", start)
+			c.recordDomainArrival("a", "safe", at(drainedBound))
+			c.recordDomainArrival("b", "safe", at(time.Hour))
+			c.recordDrained("a", time.Time{})
+			c.recordDomainArrival("a", "safe", at(time.Hour))
+		}},
+		{guaranteeWarmup, func(c *checker) {
+			c.recordWarmup("i", start)
+			for n := range 15 {
+				c.recordArrival("i", "ledger", "safe", at(warmupSettleTime+time.Duration(n)*time.Millisecond))
+			}
+		}, func(c *checker) {
+			c.recordWarmup("i", start)
+			for n := range 28 {
+				c.recordArrival("i", "ledger", "safe", at(warmupSettleTime+time.Duration(n/14)*warmupWindow))
+			}
+		}},
 		{guaranteeRoute, func(c *checker) { c.recordRun("safe", "a", "", "i", "archive", start) }, func(c *checker) { c.recordRun("safe", "a", "", "i", "ledger", start) }},
 		{guaranteeKeyHidden, func(c *checker) { c.recordRun("safe", "a", "key", "i", "ledger", start) }, func(c *checker) { c.recordRun("safe", "a", "", "i", "ledger", start) }},
 		{guaranteeAccount, func(c *checker) { c.recordRun("safe", "b", "", "i", "ledger", start) }, func(c *checker) { c.recordRun("safe", "a", "", "i", "ledger", start) }},
--- a/cmd/soak/fleet.go
+++ b/cmd/soak/fleet.go
@@ -158,12 +158,14 @@
 	oddEntries atomic.Int64
 	// leaves counts the servers that left; every second one does not announce it.
 	leaves atomic.Int64
+	// drained are the failure domains that are drained.
+	drained map[string]bool
 	// acceptedAt is when the newest configuration was accepted.
 	acceptedAt time.Time
 }
 
 func newFleet(c *checker, o options, r *rand.Rand) (*fleet, error) {
-	f := &fleet{checker: c, store: emulator.NewStore(), keys: map[string][]string{}, maxHeader: initialHeader, idleTimeout: 15}
+	f := &fleet{checker: c, store: emulator.NewStore(), keys: map[string][]string{}, drained: map[string]bool{}, maxHeader: initialHeader, idleTimeout: 15}
 	stranger, err := net.Listen("tcp", strangerAddress)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for the stranger")
@@ -258,7 +260,7 @@
 		slots = cap(s.slots)
 	}
 	f.store.Register(s.ID, emulator.Heartbeat{
-		Address: s.proxy.listener.Addr().String(), Service: s.service, FailureDomain: s.domain, State: s.state, Slots: slots, SequenceNumber: s.heartbeats, StartedAtMs: s.startMs,
+		Address: s.proxy.listener.Addr().String(), Service: s.service, FailureDomain: s.domain, State: s.state, Slots: slots, SequenceNumber: s.heartbeats, StartedAtMs: s.startMs, Warmup: max(0, time.Until(s.warmAt)),
 	})
 }
 
@@ -284,6 +286,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.putConfiguration()
+	f.putDrains()
 }
 
 // putConfiguration writes the newest version of the configuration to the store. f.mu must be held.
@@ -307,6 +310,7 @@
 			"MaxHeaderBytes": f.maxHeader, "MaxBodyBytes": 1 << 20, "HeaderTimeoutS": 3, "IdleTimeoutS": f.idleTimeout,
 		}},
 	}
+	rs = append(rs, warmupResources()...)
 	for v := 1; v <= f.version; v++ {
 		rs = append(rs, route(versionRoute(v), "safe", true))
 	}
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -82,6 +82,9 @@
 	injectors.Go(func() {
 		f.inject(injecting, rand.New(rand.NewPCG(o.Seed, 8)), serverStarts, maxConcurrentStarts, log)
 	})
+	injectors.Go(func() {
+		f.inject(injecting, rand.New(rand.NewPCG(o.Seed, 9)), drainsAndWarmups, 1, log)
+	})
 	injectors.Wait()
 	cancel()
 	log("fault injection finished")
--- a/cmd/soak/server.go
+++ b/cmd/soak/server.go
@@ -33,6 +33,8 @@
 	// startMs is the start time in Unix milliseconds, and heartbeats counts the heartbeats.
 	startMs    int64
 	heartbeats int64
+	// warmAt is until when the server says that it warms up.
+	warmAt time.Time
 	// failShare, shedShare, hangShare and cutShare are the shares of requests that end with an error, are refused, get no
 	// answer or get a truncated one, and copyShare of those whose answer or refusal is sent once more, late. extraDelay is
 	// added to the time of each request.
@@ -94,6 +96,7 @@
 	p := s.plan(r, req)
 	id := req.Header.Get("Request-Id")
 	f.checker.recordArrival(s.name, s.service, id, time.Now())
+	f.checker.recordDomainArrival(s.domain, id, time.Now())
 	ms, err := strconv.ParseInt(req.Header.Get("Deadline-Ms"), 10, 64)
 	if err != nil {
 		ms = math.MaxInt32 // The server would work for ever.
--- a/cmd/standin/emulator/store.go
+++ b/cmd/standin/emulator/store.go
@@ -129,12 +129,14 @@
 	Service, FailureDomain, State string
 	Slots                         int
 	SequenceNumber, StartedAtMs   int64
+	// Warmup is how much longer the instance warms up.
+	Warmup time.Duration
 }
 
 // Register writes a heartbeat of the instance with this ID to the registry.
 func (s *Store) Register(id string, b Heartbeat) {
 	s.Put("keyed.servers", id, fmt.Appendf(nil, `{"Address":"%s","ServerInfo":{"Service":"%s","Version":"v1","Zone":"%s","Slots":%d},`+
-		`"Status":{"State":"%s","SequenceNumber":%d,"WarmupRemainingS":0},"born":%d}`, b.Address, b.Service, b.FailureDomain, b.Slots, b.State, b.SequenceNumber, b.StartedAtMs))
+		`"Status":{"State":"%s","SequenceNumber":%d,"WarmupRemainingS":%.3f},"born":%d}`, b.Address, b.Service, b.FailureDomain, b.Slots, b.State, b.SequenceNumber, b.Warmup.Seconds(), b.StartedAtMs))
 }
 
 func (s *Store) topic(name string) *topic {
