Let leaders presume restarts, and only if two VMs found the instance silent

Cause: a VM that was cut off from everything failed at all instances, and so presumed all of them cold; when it was back it passed that on, and the fleet limited all instances for seconds.

Change: the leaders of the failure domains decide, who hear of all outcomes, and an instance is lost only if two VMs, or peers that pass outcomes on, failed there and nobody got an answer; one is enough for a fleet of one.

--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -161,7 +161,7 @@
 func (r *Relayer) applyReports(from netip.AddrPort, b *wire.Beliefs) {
 	hasLoads := b.GetLoadsKnown()
 	if !r.IsLeader() {
-		r.applySeen(b.GetSeen())
+		r.applySeen(from, b.GetSeen())
 		if hasLoads {
 			r.InstanceStats.SetPeerInFlight(decodeLoads(b.GetLoads()))
 		}
@@ -175,11 +175,11 @@
 	r.InstanceStats.SetPeerInFlight(r.inFlightExcept(r.Self.Address, true))
 }
 
-// applySeen processes the outcomes that peers observed.
-func (r *Relayer) applySeen(ms []*wire.Seen) {
+// applySeen processes the outcomes that a peer observed or passed on.
+func (r *Relayer) applySeen(from netip.AddrPort, ms []*wire.Seen) {
 	rs := decodeReports(ms)
 	r.InstanceStats.ApplyReports(rs)
-	r.restarts.observeAll(rs)
+	r.restarts.observeAll(from, rs)
 }
 
 // distribute adds the outcomes that one VM observed to the outboxes of the other VMs, and applies them here. Reports
@@ -189,7 +189,7 @@
 		return
 	}
 	if from != r.Self.Address {
-		r.applySeen(ms)
+		r.applySeen(from, ms)
 	}
 	hasUrgent := anyUrgent(ms)
 	r.mu.Lock()
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -128,7 +128,7 @@
 		reads: map[string]float64{}, decisions: map[string]float64{}, limitDecisions: map[string]float64{},
 	}
 	r.rates, r.limits, r.transfers = newRates(r), newLimits(r), newTransfers(o.LinkSpeed)
-	r.restarts = newRestarts(o.Clock, o.Tracker)
+	r.restarts = newRestarts(r)
 	return r
 }
 
@@ -291,7 +291,8 @@
 	r.mu.Lock()
 	r.outgoing.add(instance, o, relative)
 	r.mu.Unlock()
-	if r.restarts.observe(instance, map[balancer.Outcome]int{o: 1}) || urgent(o) {
+	r.restarts.observe(r.Self.Address, instance, map[balancer.Outcome]int{o: 1})
+	if urgent(o) {
 		r.wakeReport()
 	}
 }
--- a/internal/relayer/restarts.go
+++ b/internal/relayer/restarts.go
@@ -1,56 +1,57 @@
 package relayer
 
 import (
+	"net/netip"
 	"sync"
 
-	"github.com/jonboulle/clockwork"
-
-	"github.com/jacinthproxy/jacinthproxy/internal/tracker"
 	"github.com/jacinthproxy/jacinthproxy/pkg/balancer"
 	"github.com/jacinthproxy/jacinthproxy/pkg/recognizer"
 )
 
-// restarts tells the tracker of instances that may have started again, by the outcomes that this VM and its peers observed. It is
+// restarts tells the tracker of instances that may have started again, by the outcomes that this VM and its peers observed. All
+// VMs keep the outcomes, so that a new leader has them, and the leaders of the failure domains decide: they hear of all. It is
 // safe for concurrent use.
 type restarts struct {
-	clock   clockwork.Clock
-	tracker *tracker.Tracker
+	relayer *Relayer
 
 	mu         sync.Mutex
 	recognizer *recognizer.Recognizer
 }
 
-func newRestarts(c clockwork.Clock, t *tracker.Tracker) *restarts {
-	return &restarts{clock: c, tracker: t, recognizer: recognizer.New()}
+func newRestarts(r *Relayer) *restarts {
+	return &restarts{relayer: r, recognizer: recognizer.New()}
 }
 
-// observe takes the outcomes at an instance, and reports whether a warm-up was not known before.
-func (s *restarts) observe(instance string, counts map[balancer.Outcome]int) bool {
-	failures, answers := 0, 0
+// observe takes the outcomes at an instance that a VM observed or passed on.
+func (s *restarts) observe(reporter netip.AddrPort, instance string, counts map[balancer.Outcome]int) {
+	failed, answered := false, false
 	for o, n := range counts {
 		switch o {
 		case balancer.OutcomeBroken, balancer.OutcomeUnreachable, balancer.OutcomeOverdue:
-			failures += n
+			failed = failed || n > 0
 		case balancer.OutcomeAnswered, balancer.OutcomeError, balancer.OutcomeShed:
-			answers += n
+			answered = answered || n > 0
 		case balancer.OutcomeCanceled, balancer.OutcomeMoved:
 		}
 	}
+	now, restarted := s.relayer.Clock.Now(), false
 	s.mu.Lock()
-	now, restarted := s.clock.Now(), false
-	if answers > 0 {
+	if answered {
 		restarted = s.recognizer.Answer(now, instance)
 	}
-	if failures > 0 {
-		restarted = s.recognizer.Fail(now, instance, failures) || restarted
+	if failed {
+		s.recognizer.Alone = len(s.relayer.Tracker.Members()) == 1
+		restarted = s.recognizer.Fail(now, instance, reporter) || restarted
 	}
 	s.mu.Unlock()
-	return restarted && s.tracker.PresumeWarmup(instance)
+	if restarted && s.relayer.IsLeader() {
+		s.relayer.Tracker.PresumeWarmup(instance)
+	}
 }
 
-// observeAll takes the outcomes that peers observed.
-func (s *restarts) observeAll(rs []InstanceReport) {
+// observeAll takes the outcomes that a peer passed on.
+func (s *restarts) observeAll(from netip.AddrPort, rs []InstanceReport) {
 	for _, r := range rs {
-		s.observe(r.Instance, r.Counts)
+		s.observe(from, r.Instance, r.Counts)
 	}
 }
--- a/internal/relayer/warmups_test.go
+++ b/internal/relayer/warmups_test.go
@@ -204,3 +204,30 @@
 		})
 	}
 }
+
+// A VM that is cut off reaches no instance; when it is back, it must not make all others limit theirs.
+func TestVMThatWasCutOffPresumesNoRestarts(t *testing.T) {
+	f := newColdFleet(6, 5)
+	f.report(1, 0)
+	for alone := range f.relayers {
+		f.cut = func(from, to netip.AddrPort) bool {
+			return from == f.members[alone].Address || to == f.members[alone].Address
+		}
+		for range 20 {
+			f.relayers[alone].Observe("i", balancer.OutcomeUnreachable, 0)
+			f.advance(100 * time.Millisecond)
+		}
+		f.cut = nil
+		for range 5 {
+			f.advance(100 * time.Millisecond)
+		}
+		for i, tr := range f.trackers {
+			_, limited := tr.SendLimit("i")
+			require.False(t, limited, "VM %d after %d was alone", i, alone)
+		}
+		for i := range f.relayers {
+			f.relayers[i].Observe("i", balancer.OutcomeAnswered, 1)
+		}
+		f.advance(100 * time.Millisecond)
+	}
+}
--- a/pkg/recognizer/recognizer.go
+++ b/pkg/recognizer/recognizer.go
@@ -1,11 +1,14 @@
 package recognizer
 
-import "time"
+import (
+	"net/netip"
+	"time"
+)
 
 const (
-	// minFailures is how many requests must have failed at an instance, without any answer, before it counts as lost: a single
-	// one may fail for other reasons.
-	minFailures = 2
+	// minReporters is how many processes must have failed to reach an instance, without any answer, before it counts as lost: one
+	// alone may be cut off itself.
+	minReporters = 2
 	// minSilence is the time from the first failure for which an instance must have answered nobody to count as lost. It is
 	// longer than reports of answers by other processes take, and shorter than a start of an instance.
 	minSilence = 500 * time.Millisecond
@@ -15,6 +18,8 @@
 
 // Recognizer keeps the failures of instances since their last answers. It is not safe for concurrent use.
 type Recognizer struct {
+	// Alone is set while there is no other process.
+	Alone    bool
 	silences map[string]*silence
 	// sweptAt is when instances without outcomes were last dropped.
 	sweptAt time.Time
@@ -22,29 +27,30 @@
 
 // silence is the time since an instance answered.
 type silence struct {
-	failures    int
+	reporters   map[netip.AddrPort]bool
 	since, last time.Time
 }
 
-func (s *silence) lost(now time.Time) bool {
-	return s.failures >= minFailures && now.Sub(s.since) >= minSilence
+// lost reports whether the silence had lasted for long enough at a time.
+func (s *silence) lost(at time.Time, alone bool) bool {
+	return (alone || len(s.reporters) >= minReporters) && at.Sub(s.since) >= minSilence
 }
 
 // New returns a Recognizer that knows no instance.
 func New() *Recognizer { return &Recognizer{silences: map[string]*silence{}} }
 
-// Fail records that n requests to an instance failed in a way that a lost instance makes them fail, and reports whether the
-// instance counts as lost: it may be starting again.
-func (r *Recognizer) Fail(now time.Time, instance string, n int) bool {
+// Fail records that requests of a process to an instance failed in a way that a lost instance makes them fail, and reports whether
+// the instance counts as lost: it may be starting again.
+func (r *Recognizer) Fail(now time.Time, instance string, reporter netip.AddrPort) bool {
 	r.sweep(now)
 	s := r.silences[instance]
 	if s == nil {
-		s = &silence{since: now}
+		s = &silence{reporters: map[netip.AddrPort]bool{}, since: now}
 		r.silences[instance] = s
 	}
-	s.failures += n
+	s.reporters[reporter] = true
 	s.last = now
-	return s.lost(now)
+	return s.lost(now, r.Alone)
 }
 
 // Answer records that an instance answered, and reports whether it counted as lost: it has probably just started.
@@ -54,7 +60,7 @@
 		return false
 	}
 	delete(r.silences, instance)
-	return s.failures >= minFailures && s.last.Sub(s.since) >= minSilence
+	return s.lost(s.last, r.Alone)
 }
 
 // sweep drops the instances whose last failure is long ago.
