Drop the reports of warm-ups that only leaders make

Followers presume no restarts any more, so nothing is sent in their exchanges. A presumed warm-up names its source: outcomes. No change of behavior.

--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -41,7 +41,6 @@
 	if !leader {
 		observed, n := r.Tracker.ObservedStatements(k.statementsSequence)
 		statementsSequence, m.Statements = n, toStatements(r.Clock.Now(), observed)
-		m.Warmups = toWarmups(r.Clock.Now(), r.Tracker.ObservedWarmups(k.statementsSequence))
 	}
 	began := r.Clock.Now()
 	m.LoadsKnown = !leader && began.Sub(k.loadsSentAt) >= fullReportInterval
@@ -245,7 +244,6 @@
 	}
 	r.distribute(from.Address, false, m.GetSeen())
 	r.Tracker.MergeStatements(from.Address.String(), fromStatements(began, began, m.GetStatements()))
-	r.Tracker.MergeWarmups(from.Address.String(), fromWarmups(began, m.GetWarmups()))
 	sequence := m.GetSequence()
 	if m.GetIncarnation() != r.Self.Incarnation {
 		sequence = 0
--- a/internal/tracker/change.go
+++ b/internal/tracker/change.go
@@ -14,6 +14,8 @@
 	sourceGracePeriod = "gracePeriod"
 	// sourceResponse is the source of what an instance stated in a response to this VM.
 	sourceResponse = "response"
+	// sourceOutcomes is the source of what follows from the outcomes of requests.
+	sourceOutcomes = "outcomes"
 )
 
 // change says where a change of the instances comes from, and the age of the view that it replaces.
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -54,7 +54,7 @@
 	// drains are the operator's drains by failure domain, and returnedAt is when the drain of one ended.
 	drains     map[string]*drainRecord
 	returnedAt map[string]time.Time
-	// warmups are the warm-ups that instances stated in responses. nextWarmAt is when the next instance with a limit while it
+	// warmups are the warm-ups that no registration told of. nextWarmAt is when the next instance with a limit while it
 	// warms up will be warm; zero if there is none.
 	warmups    map[string]*warmupRecord
 	nextWarmAt time.Time
--- a/internal/tracker/warmups.go
+++ b/internal/tracker/warmups.go
@@ -27,21 +27,8 @@
 
 type warmupRecord struct {
 	Warmup
-	// sequence is the tracker's sequence number of the last change, and observedSequence that of the last change that this VM
-	// saw itself.
-	sequence, observedSequence uint64
-}
-
-// ObserveWarmup records that this VM saw that an instance is warming up, and reports whether that was not known.
-func (t *Tracker) ObserveWarmup(w Warmup) bool {
-	t.mu.Lock()
-	changed := t.applyWarmup(sourceResponse, w)
-	if changed {
-		t.warmups[w.Instance].observedSequence = t.sequence
-	}
-	t.mu.Unlock()
-	t.notifyInstancesChange()
-	return changed
+	// sequence is the tracker's sequence number of the last change.
+	sequence uint64
 }
 
 // PresumeWarmup records that an instance may have just started again, if its service has a warm-up rate, and reports whether that
@@ -49,8 +36,10 @@
 func (t *Tracker) PresumeWarmup(instance string) bool {
 	t.mu.Lock()
 	w, ok := t.presumedWarmup(instance)
+	changed := ok && t.applyWarmup(sourceOutcomes, w)
 	t.mu.Unlock()
-	return ok && t.ObserveWarmup(w)
+	t.notifyInstancesChange()
+	return changed
 }
 
 // presumedWarmup returns the warm-up of an instance that starts now, and the time by which applyWarmup may find it not notably
@@ -112,19 +101,6 @@
 	}
 }
 
-// ObservedWarmups returns the warm-ups that this VM saw itself and that changed after a sequence number.
-func (t *Tracker) ObservedWarmups(sequence uint64) []Warmup {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var ws []Warmup
-	for _, w := range t.warmups {
-		if w.observedSequence > sequence {
-			ws = append(ws, w.Warmup)
-		}
-	}
-	return ws
-}
-
 // warmupChanged reports whether a report of an instance whose service has a warm-up rate says something else of its warm-up
 // than an earlier one. t.mu must be held.
 func (t *Tracker) warmupChanged(previous, e Entry) bool {
