--- a/internal/tracker/drains_test.go
+++ b/internal/tracker/drains_test.go
@@ -7,6 +7,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
+	"github.com/jacinthproxy/jacinthproxy/internal/router"
 	"github.com/jacinthproxy/jacinthproxy/internal/tracker"
 )
 
@@ -83,3 +84,22 @@
 	require.True(t, is[0].WarmAt.After(c.Now()))
 	require.Zero(t, is[0].Limit, "they are not cold")
 }
+
+// Both bounds hold together: a failure domain may be drained just after its instances turned cold, and return before they are warm.
+func TestColdInstancesOfADomainThatReturnsHaveTheirLimit(t *testing.T) {
+	tr, c := drainable()
+	tr.ApplyConfiguration(router.Configuration{Version: 1, Services: []router.Service{{Name: "s", WarmupRate: 5}}})
+	e := entry("i", 2, tracker.ConditionReady)
+	e.Domain, e.WarmAt = "d", c.Now().Add(3*time.Second)
+	tr.ApplyRegistrations(c.Now(), []tracker.Entry{e}, false, 3)
+	tr.ApplyDrains([]tracker.Drain{drain(true, 5)})
+	require.Empty(t, tr.UsableInstances())
+	c.Advance(time.Second)
+	tr.ApplyDrains([]tracker.Drain{drain(false, 6)})
+	is := tr.UsableInstances()
+	require.Len(t, is, 1)
+	require.InDelta(t, 5, is[0].Limit, 0)
+	c.Advance(2 * time.Second)
+	tr.Expire()
+	require.Zero(t, tr.UsableInstances()[0].Limit)
+}
