Hold a drain that a restored store lacks for 3 s

Cause: after a restore, a drain that the copy lacks was held for 0.3 s, as the configuration is; an operator that writes it again later would have had requests sent there meanwhile. A VM that started just after the restore did not know of it and ended the drain for all with its second read.

Change: a drain of an earlier epoch ends only 3 s after a VM's own first read in the epoch, which a VM that starts counts, too.

--- a/internal/relayer/constants.go
+++ b/internal/relayer/constants.go
@@ -82,6 +82,9 @@
 	// restoreSettleTime is how long after a restore of the store the configuration that it has is not taken for the newest
 	// one: the operator writes again what was lost.
 	restoreSettleTime = 300 * time.Millisecond
+	// drainSettleTime is the same for failure domains whose drain the store lacks after a restore: nothing is lost for callers
+	// but the room of a domain that was to be empty, so that it allows for a slow operator.
+	drainSettleTime = 3 * time.Second
 	// tickInterval is how often a VM checks which roles it has.
 	tickInterval = 100 * time.Millisecond
 	// takeTimeout bounds a call to an account's owner. Two crossings of failure domains take 4 ms, but an owner that
--- a/internal/relayer/drains.go
+++ b/internal/relayer/drains.go
@@ -3,8 +3,10 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/jacinthproxy/jacinthproxy/internal/messenger/wire"
+	"github.com/jacinthproxy/jacinthproxy/internal/router"
 	"github.com/jacinthproxy/jacinthproxy/internal/tracker"
 )
 
@@ -27,14 +29,18 @@
 // drainReads is what this VM's reads found of the drained failure domains, in one epoch of the store.
 type drainReads struct {
 	drained map[string]bool
+	epoch   uint64
+	// since is the start of the first read in the epoch.
+	since time.Time
 }
 
-// add records what a read found.
-func (f *drainReads) add(ds []tracker.Drain, snapshot bool) {
-	if snapshot || f.drained == nil {
+// add records what a read that began at the given time found.
+func (f *drainReads) add(began time.Time, got Read[router.Configuration]) {
+	f.begin(began, got.Next.Epoch)
+	if got.Snapshot || f.drained == nil {
 		f.drained = map[string]bool{}
 	}
-	for _, d := range ds {
+	for _, d := range got.Drains {
 		if d.Drained {
 			f.drained[d.Domain] = true
 		} else {
@@ -43,8 +49,20 @@
 	}
 }
 
+// begin notes the epoch that is read.
+func (f *drainReads) begin(began time.Time, epoch uint64) {
+	if f.since.IsZero() || f.epoch != epoch {
+		f.epoch, f.since = epoch, began
+	}
+}
+
+// settled reports whether a read that began at the given time has what the operator wrote again after a restore of the store. A VM
+// that has just started does not know whether there was one.
+func (f *drainReads) settled(began time.Time) bool { return began.Sub(f.since) >= drainSettleTime }
+
 // learn replaces what was found by what a peer has read.
-func (f *drainReads) learn(drained []string) {
+func (f *drainReads) learn(began time.Time, epoch uint64, drained []string) {
+	f.begin(began, epoch)
 	f.drained = map[string]bool{}
 	for _, d := range drained {
 		f.drained[d] = true
--- a/internal/relayer/drains_test.go
+++ b/internal/relayer/drains_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
@@ -45,12 +46,35 @@
 
 func TestReadsOfDrainsAddUp(t *testing.T) {
 	var f drainReads
+	now := time.Unix(0, 0)
+	read := func(epoch uint64, snapshot bool, ds ...tracker.Drain) {
+		f.add(now, Read[router.Configuration]{Drains: ds, Snapshot: snapshot, Next: Position{Epoch: epoch}})
+	}
 	on := func(d string) tracker.Drain { return tracker.Drain{Domain: d, Drained: true} }
-	f.add([]tracker.Drain{on("a"), on("b")}, true)
-	f.add([]tracker.Drain{{Domain: "a"}, on("c")}, false)
+	read(1, true, on("a"), on("b"))
+	read(1, false, tracker.Drain{Domain: "a"}, on("c"))
 	require.ElementsMatch(t, []string{"b", "c"}, f.names())
-	f.add([]tracker.Drain{on("c")}, true)
+	read(1, true, on("c"))
 	require.ElementsMatch(t, []string{"c"}, f.names())
-	f.learn([]string{"e"})
+	f.learn(now, 1, []string{"e"})
 	require.ElementsMatch(t, []string{"e"}, f.names())
 }
+
+// A VM that starts just after a restore must not take for ended what its peers know to be drained, and the copy lacks.
+func TestReadsOfDrainsSettleAfterTheFirstInAnEpoch(t *testing.T) {
+	var f drainReads
+	now := time.Unix(0, 0)
+	read := func(epoch uint64) bool {
+		f.add(now, Read[router.Configuration]{Next: Position{Epoch: epoch}})
+		return f.settled(now)
+	}
+	for _, epoch := range []uint64{1, 2} {
+		require.False(t, read(epoch))
+		now = now.Add(drainSettleTime - 1)
+		require.False(t, read(epoch))
+		now = now.Add(1)
+		require.True(t, read(epoch))
+	}
+	f.learn(now, 3, nil)
+	require.False(t, read(3))
+}
--- a/internal/relayer/loops.go
+++ b/internal/relayer/loops.go
@@ -302,7 +302,7 @@
 			began := r.Clock.Now()
 			if version, end := r.Tracker.TableEnd(); end > tracker.Offset(after.Epoch, after.Offset) {
 				after = found.learn(version, end) // A peer has read more.
-				drains.learn(r.Tracker.DrainedDomains())
+				drains.learn(began, after.Epoch, r.Tracker.DrainedDomains())
 			}
 			got, err := r.Source.Configurations(ctx, after, found.wait(began, wait))
 			if err != nil {
@@ -315,9 +315,9 @@
 			}
 			after = got.Next
 			found.add(began, got)
-			drains.add(got.Drains, got.Snapshot)
+			drains.add(began, got)
+			r.Tracker.ApplyDrainSnapshot(drains.names(), tracker.Offset(after.Epoch, after.Offset), drains.settled(began))
 			if found.current(began) {
-				r.Tracker.ApplyDrainSnapshot(drains.names(), tracker.Offset(after.Epoch, after.Offset))
 				r.Tracker.MarkTableFresh(found.newest, began, tracker.Offset(after.Epoch, after.Offset))
 				found.confirmed = true
 			}
--- a/internal/tracker/drains.go
+++ b/internal/tracker/drains.go
@@ -28,14 +28,15 @@
 func (t *Tracker) MergeDrains(peer string, ds []Drain) { t.applyDrains(peer, ds) }
 
 // ApplyDrainSnapshot applies the names of all failure domains that the operator's records up to an offset drain. The drain of
-// any other one has ended, unless its record is later.
-func (t *Tracker) ApplyDrainSnapshot(drained []string, end uint64) {
+// any other one has ended, unless its record is later, or is of an earlier epoch and the operator may still write it again: settled
+// is false then.
+func (t *Tracker) ApplyDrainSnapshot(drained []string, end uint64, settled bool) {
 	if end == 0 {
 		return
 	}
 	t.mu.Lock()
 	for domain, d := range t.drains {
-		if d.Drained && d.Offset < end && !slices.Contains(drained, domain) {
+		if d.Drained && d.Offset < end && (settled || EpochOf(d.Offset) == EpochOf(end)) && !slices.Contains(drained, domain) {
 			t.applyDrain(sourceStore, Drain{Domain: domain, Offset: end - 1})
 		}
 	}
--- a/internal/tracker/drains_test.go
+++ b/internal/tracker/drains_test.go
@@ -48,11 +48,11 @@
 func TestDrainOfForgottenHistoryEndsWithASnapshotThatLacksIt(t *testing.T) {
 	tr, _ := drainable()
 	tr.ApplyDrains([]tracker.Drain{drain(true, 5)})
-	tr.ApplyDrainSnapshot(nil, tracker.Offset(1, 5))
+	tr.ApplyDrainSnapshot(nil, tracker.Offset(1, 5), true)
 	require.Equal(t, []string{"d"}, tr.DrainedDomains(), "the record is later than the snapshot")
-	tr.ApplyDrainSnapshot([]string{"d"}, tracker.Offset(1, 9))
+	tr.ApplyDrainSnapshot([]string{"d"}, tracker.Offset(1, 9), true)
 	require.Equal(t, []string{"d"}, tr.DrainedDomains())
-	tr.ApplyDrainSnapshot(nil, tracker.Offset(1, 9))
+	tr.ApplyDrainSnapshot(nil, tracker.Offset(1, 9), true)
 	require.Empty(t, tr.DrainedDomains())
 	tr.ApplyDrains([]tracker.Drain{drain(true, 5)})
 	require.Empty(t, tr.DrainedDomains(), "a peer that is behind")
@@ -103,3 +103,19 @@
 	tr.Expire()
 	require.Zero(t, tr.UsableInstances()[0].Limit)
 }
+
+// The copy from which the store was restored may lack a drain that the operator is about to write again.
+func TestDrainThatARestoreLostHoldsUntilTheStoreHasSettled(t *testing.T) {
+	tr, _ := drainable()
+	tr.ApplyDrains([]tracker.Drain{drain(true, 5)})
+	tr.ApplyDrainSnapshot(nil, tracker.Offset(2, 4), false)
+	require.Equal(t, []string{"d"}, tr.DrainedDomains())
+	tr.ApplyDrains([]tracker.Drain{{Domain: "d", Drained: true, Offset: tracker.Offset(2, 4)}})
+	tr.ApplyDrainSnapshot([]string{"d"}, tracker.Offset(2, 5), true)
+	require.Equal(t, []string{"d"}, tr.DrainedDomains())
+	tr.ApplyDrainSnapshot(nil, tracker.Offset(2, 6), false)
+	require.Empty(t, tr.DrainedDomains(), "it ended in this epoch")
+	tr.ApplyDrains([]tracker.Drain{{Domain: "d", Drained: true, Offset: tracker.Offset(2, 6)}})
+	tr.ApplyDrainSnapshot(nil, tracker.Offset(3, 2), true)
+	require.Empty(t, tr.DrainedDomains(), "the operator did not write it again")
+}
