--- a/cmd/soak/server.go
+++ b/cmd/soak/server.go
@@ -143,6 +143,12 @@
 	}
 	p.pauses = r.Float64() < s.pauseShare
 	p.refuses = p.pauses || x < s.shedShare
+	p.respond = s.response(r, req, x, p.refuses, p.pauses)
+	return p
+}
+
+// response draws how a server responds, with x uniform in [0, 1). s.mu must be held.
+func (s *server) response(r *rand.Rand, req *http.Request, x float64, refuses, pauses bool) emulator.Behavior {
 	part, headPart := 1.0, r.Float64()
 	if r.IntN(4) == 0 {
 		part = r.Float64()
@@ -152,33 +158,32 @@
 	}
 	copied := r.Float64() < s.copyShare
 	switch x -= s.shedShare; {
-	case p.pauses:
-		p.respond = emulator.Pause(statedPause)
-	case p.refuses:
-		p.respond = emulator.Refuse(refusalStatuses[r.IntN(len(refusalStatuses))])
+	case pauses:
+		return emulator.Pause(statedPause)
+	case refuses:
+		refusal := emulator.Refuse(refusalStatuses[r.IntN(len(refusalStatuses))])
 		if copied && r.IntN(2) == 0 {
-			p.respond = late(p.respond)
+			return late(refusal)
 		}
+		return refusal
 	case r.Float64() < s.endlessShare:
-		p.respond = emulator.Endless("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n\r\n", "x")
+		return emulator.Endless("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n\r\n", "x")
 	case r.Float64() < s.headCutShare:
-		p.respond = emulator.CutHead(func(n int) int { return int(headPart * float64(n)) })
+		return emulator.CutHead(func(n int) int { return int(headPart * float64(n)) })
 	case s.noStatusShare > 0 && r.Float64() < s.noStatusShare:
-		p.respond = emulator.WithStatus(invalidStatuses[r.IntN(len(invalidStatuses))])
+		return emulator.WithStatus(invalidStatuses[r.IntN(len(invalidStatuses))])
 	case x < s.failShare:
-		p.respond = emulator.Fail
+		return emulator.Fail
 	case x < s.failShare+s.hangShare:
-		p.respond = emulator.Hang
+		return emulator.Hang
 	case x < s.failShare+s.hangShare+s.cutShare && req.Method != http.MethodHead: // The answer to HEAD is whole without a body.
-		p.respond = emulator.Truncate
+		return emulator.Truncate
 	case copied:
-		p.respond = late(emulator.Answer)
+		return late(emulator.Answer)
 	case r.Float64() < s.strayShare:
-		p.respond = emulator.StrayRefusal(strayStatuses[r.IntN(len(strayStatuses))], emulator.Answer)
-	default:
-		p.respond = emulator.Answer
+		return emulator.StrayRefusal(strayStatuses[r.IntN(len(strayStatuses))], emulator.Answer)
 	}
-	return p
+	return emulator.Answer
 }
 
 // awaitSlot waits until one of the slots is free, and takes it. It returns false if none is within the time limit.
--- a/internal/forwarder/verify.go
+++ b/internal/forwarder/verify.go
@@ -70,5 +70,5 @@
 		return true
 	}
 	var e net.Error
-	return err != nil && !(errors.As(err, &e) && e.Timeout())
+	return err != nil && (!errors.As(err, &e) || !e.Timeout())
 }
--- a/internal/receiver/exchange.go
+++ b/internal/receiver/exchange.go
@@ -316,9 +316,7 @@
 		name = x.route.Name
 	}
 	x.Observer.Observe(name, res.reason, res.status, took)
-	if x.service != "" && res.reason != ReasonCanceled {
-		x.Picker.CountEnded(x.service, res.reason == ReasonAnswered && res.status < http.StatusInternalServerError)
-	}
+	x.countEnded(res)
 	if res.reason != ReasonAnswered || len(x.tried) > 1 || res.status >= http.StatusInternalServerError {
 		x.logRequest(res, name, took)
 	} else if x.answerLog.AllowN(x.Clock.Now(), 1) {
@@ -341,6 +339,19 @@
 		x.writeResponse(res)
 		return
 	}
+	x.writeRefusal(res)
+}
+
+// countEnded counts a request that reached its service's admission, and whether it was served.
+func (x *exchange) countEnded(res result) {
+	if x.service != "" && res.reason != ReasonCanceled {
+		x.Picker.CountEnded(x.service, res.reason == ReasonAnswered && res.status < http.StatusInternalServerError)
+	}
+}
+
+// writeRefusal writes this VM's own response to the caller.
+func (x *exchange) writeRefusal(res result) {
+	h := x.w.Header()
 	h.Set(x.HeaderNames.RequestID, x.id)
 	if res.retryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(res.retryAfter.Seconds(), 'f', 2, 64))
--- a/internal/receiver/room.go
+++ b/internal/receiver/room.go
@@ -50,7 +50,7 @@
 
 // awaitRetry waits for a retry, and reports whether it took one and whether it waited.
 func (r *retrier) awaitRetry(ctx context.Context) (ok, waited bool) {
-	t := admitter.Try{Level: r.level, Once: !r.route.Idempotent}
+	t := admitter.Try{Level: r.level, RoutePriority: r.route.Priority, Once: !r.route.Idempotent}
 	if r.account != nil {
 		t.Account = r.account.Name
 	}
--- a/pkg/admitter/retries.go
+++ b/pkg/admitter/retries.go
@@ -31,6 +31,8 @@
 type Try struct {
 	Level   int
 	Account string
+	// RoutePriority is the priority of the request's route, which tells requests of a level apart; 0 is the highest.
+	RoutePriority int
 	// Once says that the request may run only once, so that it cannot be sent again after most other failures.
 	Once bool
 	// StartBy is when it must be sent again at the latest to be of use.
@@ -44,8 +46,8 @@
 	joinedAt time.Time
 }
 
-// Retries gives the retries that a service's budget has left to the requests that wait for one: the most urgent first, those that
-// may run only once before others, then those of the account that got the fewest lately, then by arrival. A request waits only
+// Retries gives the retries that a service's budget has left to the requests that wait for one: the most urgent first, by level and
+// then by route, those that may run only once before others, then those of the account that got the fewest lately, then by arrival. A request waits only
 // while it is expected to get one in time. It answers spells in which more requests fail than the budget allows to send again.
 // It is not safe for concurrent use.
 type Retries struct {
@@ -85,7 +87,7 @@
 		}
 		return 1
 	}
-	return cmp.Or(cmp.Compare(a.Level, b.Level), cmp.Compare(once(a), once(b)), cmp.Compare(a.granted, b.granted), a.joinedAt.Compare(b.joinedAt))
+	return cmp.Or(cmp.Compare(a.Level, b.Level), cmp.Compare(a.RoutePriority, b.RoutePriority), cmp.Compare(once(a), once(b)), cmp.Compare(a.granted, b.granted), a.joinedAt.Compare(b.joinedAt))
 }
 
 // Leave removes a request.
--- a/pkg/admitter/retries_test.go
+++ b/pkg/admitter/retries_test.go
@@ -80,6 +80,18 @@
 	require.LessOrEqual(t, p.held["other"], 600*time.Millisecond)
 }
 
+// Where accounts have priorities of their own, all routes may be of one level.
+func TestRetriesOfALevelGoToTheMoreUrgentRoute(t *testing.T) {
+	p := newRetryPlay(10)
+	for range 500 {
+		p.fail("once", admitter.Try{RoutePriority: 1, Once: true}, time.Second)
+		p.fail("urgent", admitter.Try{RoutePriority: 0}, time.Second)
+		p.step(100 * time.Millisecond)
+	}
+	require.Greater(t, p.got["urgent"], 9*p.all["urgent"]/10)
+	require.Less(t, p.got["once"], p.all["once"]/10)
+}
+
 func TestRequestsWithoutTimeToWaitAreRefusedAtOnce(t *testing.T) {
 	p := newRetryPlay(2)
 	p.fail("late", admitter.Try{Level: 1, Account: "a"}, 400*time.Millisecond)
