--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -57,6 +57,8 @@
 	peerInFlight map[string]int
 	usage        *usage
 	room         *room
+	// hedges is nil unless hedges have a limit.
+	hedges *Hedges
 }
 
 type service struct {
@@ -123,6 +125,9 @@
 	s := p.service(name)
 	s.budget.Resize(p.RetrySlack, p.VMCount())
 	s.budget.CountRequest(p.Clock.Now())
+	if p.hedges != nil {
+		p.hedges.hedger.CountRequest(p.Clock.Now(), name)
+	}
 }
 
 // trialReserve is the number of retries that a VM must have left to try suspected instances freely: one for the request
@@ -134,6 +139,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s, now := p.service(name), p.Clock.Now()
+	r.UnservedShare = p.FleetUsage(name).Sum.UnservedShare()
 	r.LowRetryBudget = r.LowRetryBudget || s.budget.Left(now) < trialReserve
 	return s.balancer.Pick(now, r)
 }
@@ -276,6 +282,31 @@
 	return js
 }
 
+// Trials returns the requests used for trials since the start, by service.
+func (p *Picker) Trials() map[string]float64 {
+	return p.eachBalancer(func(b *balancer.Balancer) float64 { return float64(b.Trials()) })
+}
+
+// Priors returns the probability that an instance of which nothing recent is known is unhealthy, by service.
+func (p *Picker) Priors() map[string]float64 { return p.eachBalancer((*balancer.Balancer).Prior) }
+
+func (p *Picker) eachBalancer(f func(*balancer.Balancer) float64) map[string]float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	vs := make(map[string]float64, len(p.services))
+	for n, s := range p.services {
+		vs[n] = f(s.balancer)
+	}
+	return vs
+}
+
+// Room returns the room of a service by failure domain.
+func (p *Picker) Room(name string) map[string]balancer.Room {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.service(name).balancer.Room(p.Clock.Now())
+}
+
 // RetriesLeft returns the retries left in this VM's share of the budget, by service.
 func (p *Picker) RetriesLeft() map[string]float64 {
 	p.mu.Lock()
--- a/internal/receiver/exchange.go
+++ b/internal/receiver/exchange.go
@@ -56,6 +56,8 @@
 	outcomes []string
 	// responses are those that were received, to be closed when the request is over.
 	responses []forwarder.Response
+	// hedgeResult is hedgeWon if a hedge's response is that of the request, hedgeLost if another one is, and empty without a hedge.
+	hedgeResult string
 }
 
 // result is how a request ended, with the response or error to return to the caller.
@@ -294,7 +296,7 @@
 	}
 	r := forwarder.Request{
 		ID: x.id, Method: x.req.Method, Target: x.target, Host: x.req.Host, Header: h,
-		Body: x.body, Length: int64(len(x.body)),
+		Body: x.body, Length: int64(len(x.body)), RunsOnce: !x.route.Idempotent,
 	}
 	if x.bodyRest != nil {
 		r.BodyRest, r.Length, r.Chunked = x.bodyRest, x.req.ContentLength, x.req.ContentLength < 0
@@ -305,15 +307,16 @@
 // finish responds to the caller, counts the request, and logs it unless it ended well at the first instance. It
 // panics with http.ErrAbortHandler if the caller disconnected.
 func (x *exchange) finish(res result) {
+	if res.response != nil && !forwarder.IsFinal(res.status) {
+		res = refuse(ReasonBroken, http.StatusBadGateway, forwarder.ErrNoStatus.Error())
+	}
 	took := x.Clock.Since(x.arrivedAt)
 	name := ""
 	if x.route != nil {
 		name = x.route.Name
 	}
 	x.Observer.Observe(name, res.reason, res.status, took)
-	if x.offered && res.reason != ReasonCanceled {
-		x.Picker.CountEnded(x.service, res.reason == ReasonAnswered && res.status < http.StatusInternalServerError)
-	}
+	x.countEnded(res)
 	if res.reason != ReasonAnswered || len(x.tried) > 1 || res.status >= http.StatusInternalServerError {
 		x.logRequest(res, name, took)
 	} else if x.answerLog.AllowN(x.Clock.Now(), 1) {
@@ -336,6 +339,19 @@
 		x.writeResponse(res)
 		return
 	}
+	x.writeRefusal(res)
+}
+
+// countEnded counts a request that reached its service's admission, and whether it was served.
+func (x *exchange) countEnded(res result) {
+	if x.service != "" && res.reason != ReasonCanceled {
+		x.Picker.CountEnded(x.service, res.reason == ReasonAnswered && res.status < http.StatusInternalServerError)
+	}
+}
+
+// writeRefusal writes this VM's own response to the caller.
+func (x *exchange) writeRefusal(res result) {
+	h := x.w.Header()
 	h.Set(x.HeaderNames.RequestID, x.id)
 	if res.retryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(res.retryAfter.Seconds(), 'f', 2, 64))
@@ -356,7 +372,7 @@
 	}
 	x.Logger.Info("request", zap.String("id", x.id), zap.Stringer("reason", res.reason), zap.Int("status", res.status),
 		zap.Bool("notRun", res.reason.notRun()), zap.String("route", route), zap.String("account", account),
-		zap.String("service", x.service), zap.Strings("tried", x.tried), zap.Strings("outcomes", x.outcomes), zap.Duration("took", took),
+		zap.String("service", x.service), zap.Strings("tried", x.tried), zap.Strings("outcomes", x.outcomes), zap.String("hedge", x.hedgeResult), zap.Duration("took", took),
 		zap.Int64("version", x.configurationVersion), zap.Duration("readAge", x.configurationAge), zap.String("rateOwner", x.admission.Owner),
 		zap.String("detail", res.detail))
 }
@@ -382,7 +398,9 @@
 	case resp.BodyRest == nil:
 		h.Set("Content-Length", strconv.Itoa(len(resp.Body)))
 		x.w.WriteHeader(res.status)
-		_, _ = x.w.Write(resp.Body) // The caller may have disconnected.
+		if _, err := x.w.Write(resp.Body); errors.Is(err, os.ErrDeadlineExceeded) { // Else, the caller may have disconnected.
+			x.Logger.Info("response not read", zap.String("id", x.id), zap.Int("bytes", len(resp.Body)))
+		}
 		return
 	}
 	if resp.Length >= 0 {
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -41,7 +41,6 @@
 	if !leader {
 		observed, n := r.Tracker.ObservedStatements(k.statementsSequence)
 		statementsSequence, m.Statements = n, toStatements(r.Clock.Now(), observed)
-		m.Warmups = toWarmups(r.Clock.Now(), r.Tracker.ObservedWarmups(k.statementsSequence))
 	}
 	began := r.Clock.Now()
 	m.LoadsKnown = !leader && began.Sub(k.loadsSentAt) >= fullReportInterval
@@ -66,6 +65,11 @@
 	}
 	k.statementsSequence = statementsSequence
 	r.applyBeliefs(to, leader, began, k, b)
+	if !leader {
+		r.mu.Lock()
+		r.leadsInsteadSince = time.Time{}
+		r.mu.Unlock()
+	}
 	if !leader && b.GetConfigurationKnown() && b.GetInstancesKnown() {
 		r.heardLeader.Store(true)
 	}
@@ -166,7 +170,7 @@
 func (r *Relayer) applyReports(from netip.AddrPort, b *wire.Beliefs) {
 	hasLoads := b.GetLoadsKnown()
 	if !r.IsLeader() {
-		r.applySeen(b.GetSeen())
+		r.applySeen(from, b.GetSeen())
 		if hasLoads {
 			r.InstanceStats.SetPeerInFlight(decodeLoads(b.GetLoads()))
 		}
@@ -180,11 +184,11 @@
 	r.InstanceStats.SetPeerInFlight(r.inFlightExcept(r.Self.Address, true))
 }
 
-// applySeen processes the outcomes that peers observed.
-func (r *Relayer) applySeen(ms []*wire.Seen) {
+// applySeen processes the outcomes that a peer observed or passed on.
+func (r *Relayer) applySeen(from netip.AddrPort, ms []*wire.Seen) {
 	rs := decodeReports(ms)
 	r.InstanceStats.ApplyReports(rs)
-	r.restarts.observeAll(rs)
+	r.restarts.observeAll(from, rs)
 }
 
 // distribute adds the outcomes that one VM observed to the outboxes of the other VMs, and applies them here. Reports
@@ -194,7 +198,7 @@
 		return
 	}
 	if from != r.Self.Address {
-		r.applySeen(ms)
+		r.applySeen(from, ms)
 	}
 	hasUrgent := anyUrgent(ms)
 	r.mu.Lock()
@@ -251,7 +255,6 @@
 	r.receiveUsage(from.Address, m)
 	r.distribute(from.Address, false, m.GetSeen())
 	r.Tracker.MergeStatements(from.Address.String(), fromStatements(began, began, m.GetStatements()))
-	r.Tracker.MergeWarmups(from.Address.String(), fromWarmups(began, m.GetWarmups()))
 	sequence := m.GetSequence()
 	if m.GetIncarnation() != r.Self.Incarnation {
 		sequence = 0
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -74,6 +74,8 @@
 	lastExchange map[netip.AddrPort]time.Time
 	// leaderSince is when this VM became the leader of its domain; zero while it is not.
 	leaderSince time.Time
+	// leadsInsteadSince is when this VM led first since it last heard from another leader; zero if it has not led since.
+	leadsInsteadSince time.Time
 	// outgoing collects this VM's observations for its leader.
 	outgoing outbox
 	// outboxes collect the observations of this and other VMs for the peers that exchange with this one.
@@ -133,7 +135,7 @@
 		reads: map[string]float64{}, decisions: map[string]float64{}, limitDecisions: map[string]float64{},
 	}
 	r.rates, r.limits, r.transfers = newRates(r), newLimits(r), newTransfers(o.LinkSpeed)
-	r.restarts = newRestarts(o.Clock, o.Tracker)
+	r.restarts = newRestarts(r)
 	return r
 }
 
@@ -296,7 +298,8 @@
 	r.mu.Lock()
 	r.outgoing.add(instance, o, relative)
 	r.mu.Unlock()
-	if r.restarts.observe(instance, map[balancer.Outcome]int{o: 1}) || urgent(o) {
+	r.restarts.observe(r.Self.Address, instance, map[balancer.Outcome]int{o: 1})
+	if urgent(o) {
 		r.wakeReport()
 	}
 }
@@ -355,7 +358,7 @@
 		p, err := r.handleFetch(ctx, b.FetchConfiguration)
 		return &wire.Reply{Body: &wire.Reply_ConfigurationPart{ConfigurationPart: p}}, nil, err
 	case *wire.Request_Take:
-		t, err := r.rates.grant(b.Take.GetAccount(), int(b.Take.GetWant()))
+		t, err := r.rates.grant(from, b.Take)
 		return takenReply(t), nil, err
 	case *wire.Request_Granted:
 		return takenReply(&wire.Taken{}), nil, r.rates.handleGranted(from, b.Granted)
--- a/internal/relayer/warmups_test.go
+++ b/internal/relayer/warmups_test.go
@@ -149,7 +149,7 @@
 func TestOwnerLearnsOfAWarmupFromTheVMThatAsks(t *testing.T) {
 	f := newColdFleet(4, 2)
 	f.report(1, 0)
-	f.trackers[0].ObserveWarmup(tracker.Warmup{Instance: "i", WarmAt: f.clock.Now().Add(3 * time.Second)})
+	f.trackers[0].PresumeWarmup("i")
 	for range 50 {
 		f.send(0)
 	}
@@ -159,11 +159,11 @@
 func TestWarmupReachesAllVMs(t *testing.T) {
 	f := newColdFleet(12, 5)
 	f.report(1, 0)
-	follower := 0
-	for f.relayers[follower].IsLeader() {
-		follower++
+	leader := 0
+	for !f.relayers[leader].IsLeader() {
+		leader++
 	}
-	f.trackers[follower].ObserveWarmup(tracker.Warmup{Instance: "i", WarmAt: f.clock.Now().Add(3 * time.Second)})
+	f.trackers[leader].PresumeWarmup("i")
 	f.advance(50 * time.Millisecond)
 	f.advance(50 * time.Millisecond)
 	for i, tr := range f.trackers {
@@ -204,3 +204,30 @@
 		})
 	}
 }
+
+// A VM that is cut off reaches no instance; when it is back, it must not make all others limit theirs.
+func TestVMThatWasCutOffPresumesNoRestarts(t *testing.T) {
+	f := newColdFleet(6, 5)
+	f.report(1, 0)
+	for alone := range f.relayers {
+		f.cut = func(from, to netip.AddrPort) bool {
+			return from == f.members[alone].Address || to == f.members[alone].Address
+		}
+		for range 20 {
+			f.relayers[alone].Observe("i", balancer.OutcomeUnreachable, 0)
+			f.advance(100 * time.Millisecond)
+		}
+		f.cut = nil
+		for range 5 {
+			f.advance(100 * time.Millisecond)
+		}
+		for i, tr := range f.trackers {
+			_, limited := tr.SendLimit("i")
+			require.False(t, limited, "VM %d after %d was alone", i, alone)
+		}
+		for i := range f.relayers {
+			f.relayers[i].Observe("i", balancer.OutcomeAnswered, 1)
+		}
+		f.advance(100 * time.Millisecond)
+	}
+}
--- a/internal/runner/operators.go
+++ b/internal/runner/operators.go
@@ -100,6 +100,15 @@
 		"refused_attempts": {"Attempts that instances refused since the start, by the connection that the refusal came on.", "connection", func() map[string]float64 {
 			return r.receiver.RefusedAttempts()
 		}},
+		"hedges": {"Hedges since the start that were sent, won or lost, and requests without one because of what refused it.", "end", func() map[string]float64 {
+			return r.receiver.HedgeCounts()
+		}},
+		"hedge_credit": {"Hedges that this VM may send now under the limit, by service; none without a limit.", "service", func() map[string]float64 {
+			if r.hedges == nil {
+				return nil
+			}
+			return r.hedges.Credit()
+		}},
 		"skipped_responses": single("Responses of instances since the start that belonged to no request in flight on their connection.", func() float64 {
 			return float64(r.receiver.SkippedResponses())
 		}),
@@ -112,6 +121,8 @@
 		"level_let_in_share":     {"Share of the requests that is let in while a service is short of room, by service and level.", "service_level", r.picker.LevelShares},
 		"level_refused_requests": {"Requests since the start that this VM refused for want of room or of a retry, by service and level.", "service_level", r.picker.RefusedRequests},
 		"retry_turns":            {"Failed requests since the start that asked for a retry, by whether they got one.", "turn", r.picker.RetryTurns},
+		"trials":                 {"Requests since the start that were used to try an instance, by service.", "service", r.picker.Trials},
+		"unhealthy_prior":        {"Probability that an instance of which nothing recent is known is unhealthy, by service.", "service", r.picker.Priors},
 		"retries_left":           {"Retries that this VM's share of the budget has, by service.", "service", r.picker.RetriesLeft},
 	}
 }
--- a/internal/tracker/drains_test.go
+++ b/internal/tracker/drains_test.go
@@ -7,6 +7,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
+	"github.com/jacinthproxy/jacinthproxy/internal/router"
 	"github.com/jacinthproxy/jacinthproxy/internal/tracker"
 )
 
@@ -47,11 +48,11 @@
 func TestDrainOfForgottenHistoryEndsWithASnapshotThatLacksIt(t *testing.T) {
 	tr, _ := drainable()
 	tr.ApplyDrains([]tracker.Drain{drain(true, 5)})
-	tr.ApplyDrainSnapshot(nil, tracker.Offset(1, 5))
+	tr.ApplyDrainSnapshot(nil, tracker.Offset(1, 5), true)
 	require.Equal(t, []string{"d"}, tr.DrainedDomains(), "the record is later than the snapshot")
-	tr.ApplyDrainSnapshot([]string{"d"}, tracker.Offset(1, 9))
+	tr.ApplyDrainSnapshot([]string{"d"}, tracker.Offset(1, 9), true)
 	require.Equal(t, []string{"d"}, tr.DrainedDomains())
-	tr.ApplyDrainSnapshot(nil, tracker.Offset(1, 9))
+	tr.ApplyDrainSnapshot(nil, tracker.Offset(1, 9), true)
 	require.Empty(t, tr.DrainedDomains())
 	tr.ApplyDrains([]tracker.Drain{drain(true, 5)})
 	require.Empty(t, tr.DrainedDomains(), "a peer that is behind")
@@ -83,3 +84,38 @@
 	require.True(t, is[0].WarmAt.After(c.Now()))
 	require.Zero(t, is[0].Limit, "they are not cold")
 }
+
+// Both bounds hold together: a failure domain may be drained just after its instances turned cold, and return before they are warm.
+func TestColdInstancesOfADomainThatReturnsHaveTheirLimit(t *testing.T) {
+	tr, c := drainable()
+	tr.ApplyConfiguration(router.Configuration{Version: 1, Services: []router.Service{{Name: "s", WarmupRate: 5}}})
+	e := entry("i", 2, tracker.ConditionReady)
+	e.Domain, e.WarmAt = "d", c.Now().Add(3*time.Second)
+	tr.ApplyRegistrations(c.Now(), []tracker.Entry{e}, false, 3)
+	tr.ApplyDrains([]tracker.Drain{drain(true, 5)})
+	require.Empty(t, tr.UsableInstances())
+	c.Advance(time.Second)
+	tr.ApplyDrains([]tracker.Drain{drain(false, 6)})
+	is := tr.UsableInstances()
+	require.Len(t, is, 1)
+	require.InDelta(t, 5, is[0].Limit, 0)
+	c.Advance(2 * time.Second)
+	tr.Expire()
+	require.Zero(t, tr.UsableInstances()[0].Limit)
+}
+
+// The copy from which the store was restored may lack a drain that the operator is about to write again.
+func TestDrainThatARestoreLostHoldsUntilTheStoreHasSettled(t *testing.T) {
+	tr, _ := drainable()
+	tr.ApplyDrains([]tracker.Drain{drain(true, 5)})
+	tr.ApplyDrainSnapshot(nil, tracker.Offset(2, 4), false)
+	require.Equal(t, []string{"d"}, tr.DrainedDomains())
+	tr.ApplyDrains([]tracker.Drain{{Domain: "d", Drained: true, Offset: tracker.Offset(2, 4)}})
+	tr.ApplyDrainSnapshot([]string{"d"}, tracker.Offset(2, 5), true)
+	require.Equal(t, []string{"d"}, tr.DrainedDomains())
+	tr.ApplyDrainSnapshot(nil, tracker.Offset(2, 6), false)
+	require.Empty(t, tr.DrainedDomains(), "it ended in this epoch")
+	tr.ApplyDrains([]tracker.Drain{{Domain: "d", Drained: true, Offset: tracker.Offset(2, 6)}})
+	tr.ApplyDrainSnapshot(nil, tracker.Offset(3, 2), true)
+	require.Empty(t, tr.DrainedDomains(), "the operator did not write it again")
+}
