Hold back the end of the head, not of the body, while a connection is verified

Cause: a request that may run only once was sent up to its last byte on a kept connection, and sent again if the connection ended before that byte. If it had begun with a request that has a body when the connection was reset within the 2 ms to 10 ms of the verification, the request was sent again and ran twice.

Change: all before the empty line that ends the head is sent first, and that line and the body once the connection is verified. No instance can begin without the head. What the verification detects is the same.

Test: TestRequestThatRunsOnceIsNotSentAgainAfterItsHead has an instance that begins at the head and resets the connection. Before the change the request ran twice (expected 1, actual 2); after it once.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -41,7 +41,7 @@
 	tcpUserTimeout = 5 * time.Second
 )
 
-// ErrNotSent marks errors of requests of which no byte was sent.
+// ErrNotSent marks errors of requests that no instance can have run: not even their heads were sent as a whole.
 var ErrNotSent = errors.New("the request was not sent")
 
 // HeaderNames are the names of the headers of the backend servers' protocol.
@@ -144,8 +144,8 @@
 func (f *Forwarder) Stats() (opened int64, idle int) { return f.pool.stats() }
 
 // Send sends a request and returns the response, which must be closed. MaxIdle is how long a kept connection may have
-// been idle to be reused; zero opens a new one. If a kept connection turns out to be closed before a request that may run only
-// once was complete, the request is sent on a new one. No connection carries two requests with the same ID. When the context
+// been idle to be reused; zero opens a new one. If a kept connection turns out to be closed before the head of a request that may
+// run only once was complete, the request is sent on a new one. No connection carries two requests with the same ID. When the context
 // ends, Send closes the connection, which cancels the request at the instance; the returned error is then also marked with the
 // context's error.
 func (f *Forwarder) Send(ctx context.Context, addr netip.AddrPort, r Request, maxIdle time.Duration) (Response, error) {
--- a/internal/forwarder/verify.go
+++ b/internal/forwarder/verify.go
@@ -19,10 +19,10 @@
 	maxVerifyTime = 10 * time.Millisecond
 )
 
-// errDropped is the error of a request that was not complete when its kept connection turned out to be closed.
+// errDropped is the error of a request whose head was not complete when its kept connection turned out to be closed.
 var errDropped = errors.New("the instance had dropped the connection")
 
-// verifiable reports whether the end of the request can be held back while its connection is verified.
+// verifiable reports whether a part of the request can be held back while its connection is verified.
 func (r Request) verifiable() bool {
 	return !r.Chunked && r.BodyRest == nil && len(r.Body) <= maxSequentialBody
 }
@@ -40,14 +40,15 @@
 	return r.RunsOnce && c.idleTime >= verifyAfterIdle && r.verifiable()
 }
 
-// writeVerified writes a request except for its last byte, and that if the connection is not closed meanwhile. An instance
-// that closes it before has not got the whole request, and cannot have run it.
+// writeVerified writes a request up to the empty line that ends its head, and the rest if the connection is not closed
+// meanwhile. An instance that closes it before cannot have run the request: it may run one without its whole body, but not
+// without its whole head.
 func writeVerified(c *conn, r Request) error {
 	var b bytes.Buffer
 	if err := writeRequest(&b, r); err != nil {
 		return err
 	}
-	n := b.Len() - 1
+	n := bytes.Index(b.Bytes(), []byte("\r\n\r\n")) + len("\r\n")
 	if _, err := c.Write(b.Bytes()[:n]); err != nil {
 		return errors.Mark(err, errDropped)
 	}
--- a/internal/forwarder/verify_test.go
+++ b/internal/forwarder/verify_test.go
@@ -21,6 +21,8 @@
 type forgetful struct {
 	net.Listener
 	forgets atomic.Bool
+	// eager is set if it begins with a request once it has the head, and then resets the connection.
+	eager atomic.Bool
 	// ran counts the requests that arrived whole, by ID.
 	ran map[string]*atomic.Int32
 }
@@ -60,10 +62,15 @@
 		if err != nil {
 			return
 		}
+		id := q.Header.Get("Request-Id")
+		if f.eager.Load() {
+			f.ran[id].Add(1)
+			_ = c.SetLinger(0)
+			return
+		}
 		if _, err := io.Copy(io.Discard, q.Body); err != nil {
 			return
 		}
-		id := q.Header.Get("Request-Id")
 		f.ran[id].Add(1)
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nServer-Signature: s\r\nRequest-Id: "+id+"\r\nContent-Length: 2\r\n\r\nok")
 	}
@@ -111,6 +118,21 @@
 	require.EqualValues(t, 1, opened)
 }
 
+// An instance may begin with a request whose body it does not have yet.
+func TestRequestThatRunsOnceIsNotSentAgainAfterItsHead(t *testing.T) {
+	i := newForgetful(t, "1", "2")
+	clock := clockwork.NewFakeClock()
+	f := newForwarderAt(clock)
+	_, err := f.Send(t.Context(), i.address(), once("1", "a body"), maxIdle)
+	require.NoError(t, err)
+	clock.Advance(3 * time.Second)
+	i.eager.Store(true)
+	_, err = f.Send(t.Context(), i.address(), once("2", "a body"), maxIdle)
+	require.Error(t, err)
+	require.NotErrorIs(t, err, forwarder.ErrNotSent)
+	require.EqualValues(t, 1, i.ran["2"].Load())
+}
+
 // A body that is streamed cannot be held back.
 func TestStreamedRequestThatRunsOnceUsesNoConnectionThatWasIdleForLong(t *testing.T) {
 	i := newForgetful(t, "1", "2")
