Leave hedges no retry that failed requests wait for

Cause: a hedge took a retry if the VM's budget had three left, although requests that failed may wait for one; they ask again only every 20 ms. Other second sends already take none while requests wait (Picker.TakeRetry).

Change: what requests wait for is taken off what is left.

Test: TestHedgesLeaveTheRetriesThatRequestsWaitFor failed before the change (a hedge was sent).

--- a/internal/picker/picker_test.go
+++ b/internal/picker/picker_test.go
@@ -14,6 +14,7 @@
 	"github.com/jacinthproxy/jacinthproxy/internal/picker"
 	"github.com/jacinthproxy/jacinthproxy/internal/relayer"
 	"github.com/jacinthproxy/jacinthproxy/internal/router"
+	"github.com/jacinthproxy/jacinthproxy/pkg/admitter"
 	"github.com/jacinthproxy/jacinthproxy/pkg/balancer"
 	"github.com/jacinthproxy/jacinthproxy/pkg/hedger"
 )
@@ -272,3 +273,30 @@
 	p.SetPeerInFlight(map[string]int{"a": 10, "b": 10, "c": 10, "e": 9})
 	require.Equal(t, hedger.DecisionFull, hedge())
 }
+
+// Requests that failed come first: a hedge must not take a retry that one of them waits for.
+func TestHedgesLeaveTheRetriesThatRequestsWaitFor(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	p := picker.New(picker.Options{
+		Domain: "d", Random: rand.New(rand.NewPCG(1, 2)), Clock: clock, RetryRatio: 0.2, RetrySlack: 10, RetryWindow: 10 * time.Second, VMCount: func() int { return 1 },
+	})
+	p.SetReporter(outcomeCounts{})
+	h := p.EnableHedges(0.1)
+	p.SetInstances([]balancer.Instance{{ID: "a", Service: "s", Domain: "d", Slots: 10}})
+	for range 100 {
+		p.CountRequest("s")
+	}
+	r := &router.Route{Name: "r", Objective: time.Second}
+	var waiting []*admitter.Ticket
+	for range int(p.RetriesLeft()["s"]) - 2 {
+		waiting = append(waiting, p.JoinRetries("s", r, admitter.Try{}, clock.Now().Add(time.Second)))
+	}
+	_, d, ok := h.Pick("s", r, balancer.Request{Idempotent: true}, time.Second)
+	require.False(t, ok)
+	require.Equal(t, hedger.DecisionRetries, d)
+	for _, k := range waiting {
+		p.LeaveRetries("s", k)
+	}
+	_, _, ok = h.Pick("s", r, balancer.Request{Idempotent: true}, time.Second)
+	require.True(t, ok)
+}
--- a/pkg/hedger/hedger.go
+++ b/pkg/hedger/hedger.go
@@ -122,7 +122,7 @@
 	// Left is the time until the request's deadline.
 	Left  time.Duration
 	Usage Usage
-	// RetriesLeft is what the VM's retry budget for the service has left.
+	// RetriesLeft is what the VM's retry budget for the service has left beyond what failed requests wait for.
 	RetriesLeft float64
 }
 
