Check a hedge again after the owner of an instance's limit was asked

Cause: a hedge whose instance has a limit that the picker's last view lacks asks the limit's owner, which takes a message. The view, the key and the stop were checked only before; the instance may have left meanwhile. Other attempts are checked again (choose.go).

Change: the same check for hedges; the choice is given back if it fails. Comments say what ErrNotSent means since connections are verified.

Test: TestHedgeIsNotSentToAnInstanceThatLeftWhileItsLimitWasAsked failed before the change in both cases (the hedge was sent). The tests of internal/receiver pass.

--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -33,7 +33,7 @@
 	*exchange
 	finished chan *attempt
 	inFlight map[*attempt]bool
-	// sent counts the attempts that may have reached an instance, unsent those of which no byte was sent.
+	// sent counts the attempts that may have reached an instance, unsent those that cannot have.
 	sent, unsent int
 	// mayHaveRun is set when an instance may have run the request.
 	mayHaveRun bool
--- a/internal/receiver/hedge.go
+++ b/internal/receiver/hedge.go
@@ -105,11 +105,20 @@
 		}
 		return c, false
 	}
-	if a := r.Limiter.AdmitSend(ctx, c.ID); !a.Admitted {
-		r.Picker.Release(c, a.RetryAfter)
-		return c, false
+	a := r.Limiter.AdmitSend(ctx, c.ID)
+	if a.Admitted && (a.Owner == "" || r.mayStillSend(ctx, c)) {
+		return c, true
 	}
-	return c, true
+	r.Picker.Release(c, a.RetryAfter)
+	return c, false
+}
+
+// mayStillSend checks a choice again after the owner of its instance's limit was asked: what was known may have become stale,
+// or the instance may have left.
+func (r *retrier) mayStillSend(ctx context.Context, c balancer.Choice) bool {
+	_, ok := r.checkBeliefs(ctx)
+	usable, _ := r.Tracker.Usable(c.ID)
+	return ok && usable
 }
 
 // observeAnswer records that an attempt was answered before a hedge was due.
--- a/internal/receiver/hedge_test.go
+++ b/internal/receiver/hedge_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/jacinthproxy/jacinthproxy/internal/forwarder"
+	"github.com/jacinthproxy/jacinthproxy/internal/relayer"
 	"github.com/jacinthproxy/jacinthproxy/internal/router"
 	"github.com/jacinthproxy/jacinthproxy/pkg/balancer"
 	"github.com/jacinthproxy/jacinthproxy/pkg/hedger"
@@ -124,6 +125,29 @@
 	require.Equal(t, []float64{0, 1}, []float64{n["sent"], n["limit"]})
 }
 
+// While the owner of an instance's limit is asked, the instance may leave and what is known may become stale.
+func TestHedgeIsNotSentToAnInstanceThatLeftWhileItsLimitWasAsked(t *testing.T) {
+	for name, change := range map[string]func(*hedgeFixture){
+		"left":  func(h *hedgeFixture) { h.left = true },
+		"stale": func(h *hedgeFixture) { h.stale = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHedgeFixture()
+			first, status := h.begin("/safe/")
+			h.admitSend = func(string) relayer.Admission {
+				change(h)
+				return relayer.Admission{Admitted: true, Owner: "10.0.0.9:1"}
+			}
+			h.pass(t)
+			<-h.picked
+			first.response <- okResponse()
+			require.Equal(t, http.StatusOK, <-status)
+			require.Empty(t, h.began)
+			require.Len(t, h.released, 1)
+		})
+	}
+}
+
 func TestFastAnswersAreNotHedged(t *testing.T) {
 	h := newHedgeFixture()
 	first, status := h.begin("/safe/")
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -156,8 +156,8 @@
 
 // Sender sends requests to instances.
 type Sender interface {
-	// Send sends a request and returns the response. An error marked forwarder.ErrNotSent means that no byte of
-	// the request was sent. MaxIdle is how long a kept connection may have been idle to be reused.
+	// Send sends a request and returns the response. An error marked forwarder.ErrNotSent means that no
+	// instance can have run the request. MaxIdle is how long a kept connection may have been idle to be reused.
 	Send(ctx context.Context, to netip.AddrPort, r forwarder.Request, maxIdle time.Duration) (forwarder.Response, error)
 }
 
