Take VMs that report no usage to have kept all the retries that they may

Cause: a VM that is cut off, or whose peers are older and report no usage, has its own counts alone in the sum over the fleet.

Change: sums tell how many VMs are in them. VMs that are missing are taken to have kept as much as is allowed; with less than half of the VMs, the VM goes by what it kept itself.

Test: TestVMThatKnowsFewVMsEarnsNoMoreThanOneThatKnowsNone.

--- a/internal/picker/budget_test.go
+++ b/internal/picker/budget_test.go
@@ -1,13 +1,16 @@
 package picker_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	"github.com/jacinthproxy/jacinthproxy/internal/picker"
+	"github.com/jacinthproxy/jacinthproxy/pkg/aggregator"
 )
 
 // VMs without failures save their retries while others spend all that they earn. If the former then spend theirs and lose their
@@ -140,3 +143,32 @@
 		require.Greater(t, float64(taken), least*whole*float64(spans-1))
 	}
 }
+
+// A VM that is cut off, or whose peers report no usage, must not take what it kept itself for what all VMs kept.
+func TestVMThatKnowsFewVMsEarnsNoMoreThanOneThatKnowsNone(t *testing.T) {
+	const vms = 10
+	taken := func(known int) (n int) {
+		clock := clockwork.NewFakeClockAt(time.Unix(1e9, 0))
+		p := picker.New(picker.Options{
+			Domain: "d", Random: rand.New(rand.NewPCG(1, 2)), Clock: clock, RetryRatio: 0.2, RetrySlack: 200, RetryWindow: 10 * time.Second,
+			VMCount: func() int { return vms },
+		})
+		for range 300 {
+			clock.Advance(100 * time.Millisecond)
+			p.CountOffered("s", 0)
+			p.CountRequest("s")
+			for p.TakeRetry("s") {
+				n++
+			}
+			if known > 0 {
+				p.SetUsage(aggregator.Fleets(map[string]aggregator.Domain{"d": {Services: p.Usage(), VMs: known}}))
+			}
+		}
+		return n
+	}
+	none := taken(0)
+	require.Equal(t, none, taken(1))
+	require.Less(t, taken(vms/2), taken(vms))
+	require.Greater(t, taken(vms-1), none)
+	require.Equal(t, taken(vms), taken(vms+1), "one that just left the fleet may still be in the sums")
+}
--- a/internal/picker/usage.go
+++ b/internal/picker/usage.go
@@ -96,12 +96,25 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for name, f := range fleets {
-		if f.Sum.Budget > 0 {
-			p.service(name).budget.NoteFleetKept(p.Clock.Now(), f.Sum.KeptShare())
+		if share, ok := fleetKeptShare(f, p.VMCount()); ok {
+			p.service(name).budget.NoteFleetKept(p.Clock.Now(), share)
 		}
 	}
 }
 
+// minKnownShare is the share of the VMs whose usage must be known to go by what the fleet kept of a retry budget.
+const minKnownShare = 0.5
+
+// fleetKeptShare returns the most that a fleet of n VMs can have kept of its retry budget, as a share of it: those that are not
+// in the sum may have kept as much as is allowed. It returns false if too little of the fleet is known.
+func fleetKeptShare(f aggregator.Fleet, n int) (share float64, ok bool) {
+	known := min(1, float64(f.VMs)/float64(max(1, n)))
+	if f.Sum.Budget <= 0 || known < minKnownShare {
+		return 0, false
+	}
+	return known*f.Sum.KeptShare() + (1-known)*maxKeptShare, true
+}
+
 // FleetUsage returns what all VMs together saw of a service within about the last second.
 func (p *Picker) FleetUsage(service string) aggregator.Fleet {
 	p.usage.mu.Lock()
--- a/pkg/aggregator/aggregator.go
+++ b/pkg/aggregator/aggregator.go
@@ -22,16 +22,21 @@
 	Sum Counts
 	// Domains has the counts of the failure domains in which the service has events.
 	Domains map[string]Counts
+	// VMs is the number of VMs in the sums of all known failure domains, with events at the service or not.
+	VMs int
 }
 
 // Fleets returns the sums over failure domains, by service.
 func Fleets(domains map[string]Domain) map[string]Fleet {
-	fs := map[string]Fleet{}
+	fs, vms := map[string]Fleet{}, 0
+	for _, d := range domains {
+		vms += d.VMs
+	}
 	for name, d := range domains {
 		for s, c := range d.Services {
 			f := fs[s]
 			if f.Domains == nil {
-				f.Domains = map[string]Counts{}
+				f.Domains, f.VMs = map[string]Counts{}, vms
 			}
 			f.Domains[name] = c
 			f.Sum.add(c, 1)
