--- a/internal/receiver/exchange.go
+++ b/internal/receiver/exchange.go
@@ -48,10 +48,8 @@
 	configurationVersion int64
 	configurationAge     time.Duration
 	admission            relayer.Admission
-	// offered is set once the request counts as offered to its service, with its level of urgency.
-	offered bool
-	level   int
-	tried   []string
+	level                int
+	tried                []string
 	// outcomes are those of the attempts at the instances in tried, outcomePending for those in flight.
 	outcomes []string
 	// responses are those that were received, to be closed when the request is over.
@@ -146,7 +144,6 @@
 		}, false
 	}
 	x.Picker.CountRequest(x.service)
-	x.offered = true
 	x.level = aggregator.Level(x.route.EffectivePriority(x.account))
 	return x.checkRoom()
 }
