--- a/internal/picker/usage.go
+++ b/internal/picker/usage.go
@@ -95,8 +95,9 @@
 	p.usage.mu.Unlock()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	n := p.VMCount()
 	for name, f := range fleets {
-		if share, ok := fleetKeptShare(f, p.VMCount()); ok {
+		if share, ok := fleetKeptShare(f, n); ok {
 			p.service(name).budget.NoteFleetKept(p.Clock.Now(), share)
 		}
 	}
