Let accounts that a VM seldom sees in at their level's share

Cause: the probability that a request is let in is its account's part over its account's rate at this VM, an average over 2 s. In a fleet with many VMs an account sends a VM less than a request in that time; at most of its requests the rate is near zero, and it was let in whatever the share of its level. The correction, at least 0.25, could not make up for it.

Change: accounts below 1 request/s at the VM go by their mean rate, both when the room is divided and when a request is let in. Others are as before.

TestManyAccountsThatEachVMSeldomSeesLeaveRoomToUrgentRequests fails before at 400 accounts. The other tests of pkg/admitter pass unchanged.

--- a/pkg/admitter/accounts.go
+++ b/pkg/admitter/accounts.go
@@ -13,6 +13,9 @@
 	rateAge = 2 * time.Second
 	// forgottenRate is the rate in requests per second below which an account is forgotten.
 	forgottenRate = 0.01
+	// rareBelow is the rate in requests per second below which the rate of one account tells little: it is near zero at most of
+	// its requests.
+	rareBelow = 1.0
 	// correctionGain is the part of the difference between the share that was let in and the one that should be by which the
 	// level of fair shares changes in an update. The rates lag by rateAge, so it must be small.
 	correctionGain = 0.02
@@ -25,8 +28,9 @@
 	// multiple is the number of requests per second that an account gets for each unit of weight, and correction a factor of
 	// it that makes up for errors of the rates.
 	multiple, correction float64
-	// offered and admitted are the rates of all accounts.
+	// offered and admitted are the rates of all accounts, and rareRate is the mean rate of those below rareBelow.
 	offered, admitted rate
+	rareRate          float64
 }
 
 type account struct {
@@ -67,7 +71,7 @@
 	}
 	a.weight = r.Rate
 	// The request itself is no evidence of a high rate.
-	p := min(1, c.correction*c.multiple*c.weightOf(a)/max(a.offered.at(now), forgottenRate))
+	p := min(1, c.correction*c.multiple*c.weightOf(a)/max(c.rateOf(a, now), forgottenRate))
 	if share >= 1 {
 		p = 1
 	}
@@ -88,10 +92,18 @@
 	return 1
 }
 
+// rateOf returns the rate to go by for an account. Those below rareBelow are taken together.
+func (c *accounts) rateOf(a *account, now time.Time) float64 {
+	if r := a.offered.at(now); r >= rareBelow {
+		return r
+	}
+	return c.rareRate
+}
+
 // update computes the fair shares that add up to a share of the offered requests.
 func (c *accounts) update(now time.Time, share float64) {
 	var as []*account
-	total := 0.0
+	total, rare, rareTotal := 0.0, 0, 0.0
 	for n, a := range c.by {
 		if a.offered.at(now) < forgottenRate {
 			delete(c.by, n)
@@ -99,7 +111,12 @@
 		}
 		as = append(as, a)
 		total += a.offered.value
+		if a.offered.value < rareBelow {
+			rare++
+			rareTotal += a.offered.value
+		}
 	}
+	c.rareRate = rareTotal / float64(max(1, rare))
 	if share >= 1 || len(as) == 0 {
 		c.multiple, c.correction = math.Inf(1), 1
 		return
@@ -107,7 +124,7 @@
 	if o := c.offered.at(now); o > 0 {
 		c.correction = min(4, max(0.25, c.correction+correctionGain*(share-c.admitted.at(now)/o)))
 	}
-	need := func(a *account) float64 { return a.offered.value / c.weightOf(a) }
+	need := func(a *account) float64 { return c.rateOf(a, now) / c.weightOf(a) }
 	slices.SortFunc(as, func(a, b *account) int { return cmp.Compare(need(a), need(b)) })
 	weights := 0.0
 	for _, a := range as {
@@ -119,7 +136,7 @@
 		if need(a) > c.multiple {
 			return
 		}
-		left -= a.offered.value
+		left -= c.rateOf(a, now)
 		weights -= c.weightOf(a)
 	}
 }
--- a/pkg/admitter/admitter_test.go
+++ b/pkg/admitter/admitter_test.go
@@ -235,6 +235,28 @@
 	}
 }
 
+// A fleet with many VMs sees each account seldom at one of them. Such accounts must not be let in as if they sent nothing.
+func TestManyAccountsThatEachVMSeldomSeesLeaveRoomToUrgentRequests(t *testing.T) {
+	for _, n := range []int{100, 400, 1600} { // Each sends from 1.6 to 0.1 requests a second to a VM.
+		ss := []sender{{"urgent", 0, 400, 2000}}
+		var seldom []string
+		for i := range n {
+			ss = append(ss, sender{fmt.Sprint("seldom", i), 1, 1600 / float64(n), 2000})
+			seldom = append(seldom, fmt.Sprint("seldom", i))
+		}
+		p := newPlay(1000, ss...)
+		for i := range p.due {
+			p.due[i] = p.random.Float64()
+		}
+		p.run(6 * time.Second)
+		p.reset()
+		p.run(6 * time.Second)
+		require.Greater(t, p.share("urgent"), 0.93, n)
+		require.Greater(t, float64(p.total()), 0.95*6*1000, "the room there is is used")
+		require.Greater(t, p.share(seldom...), 0.3, n)
+	}
+}
+
 func TestAccountsWithFewRequestsAreNotStarved(t *testing.T) {
 	ss := []sender{{"large", 0, 1500, 2000}, {"small", 0, 2, 3}, {"unlimited", 0, 20, 0}}
 	p := newPlay(1000, ss...)
