Tell callers refused without a rate's owner to return when the next owner is known

Cause: a VM that refused a request because the owner of its account's rate does not answer gave as Retry-After the time until it could admit one by itself: 50 s at 0.02 requests/s, its part where 44 VMs share 20/s. The next owner is known after 1.5 s, which is what it says where it may admit none at all.

Change: 1.5 s at the most.

Test: TestRefusalWithoutOwnerLastsNoLongerThanTheNextOwnerTakes failed before (50 s). The tests of pkg/limiter pass, and those of internal/relayer on rates, owners and pauses.

--- a/pkg/limiter/borrower.go
+++ b/pkg/limiter/borrower.go
@@ -72,5 +72,5 @@
 	if rate <= 0 {
 		return false, loanSpan
 	}
-	return false, time.Duration(float64(1-b.level) / rate * float64(time.Second))
+	return false, min(loanSpan, time.Duration(float64(1-b.level)/rate*float64(time.Second)))
 }
--- a/pkg/limiter/lender_test.go
+++ b/pkg/limiter/lender_test.go
@@ -273,3 +273,14 @@
 		require.LessOrEqual(t, granted, 120-30)
 	}
 }
+
+// The next owner is known soon: a caller must not be told to stay away until this VM could admit one without any.
+func TestRefusalWithoutOwnerLastsNoLongerThanTheNextOwnerTakes(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	for _, perSecond := range []float64{0, 0.02, 10} {
+		ok, retryAfter := limiter.NewBorrower(now).Admit(now, perSecond, time.Second)
+		require.False(t, ok)
+		require.Positive(t, retryAfter)
+		require.LessOrEqual(t, retryAfter, noticed, perSecond)
+	}
+}
