--- a/internal/receiver/hedge.go
+++ b/internal/receiver/hedge.go
@@ -32,8 +32,12 @@
 	hedgeNoInstance = "no-instance"
 )
 
-// hedgeRetries is how often, in one delay, a hedge that was refused is tried again.
-const hedgeRetries = 4
+const (
+	// hedgeRetries is how often, in one delay, a hedge that was refused is tried again.
+	hedgeRetries = 4
+	// minHedgeRetry is the least time between two tries. While instances hang, all their requests try.
+	minHedgeRetry = 20 * time.Millisecond
+)
 
 // hedging is the state of the hedge of one request.
 type hedging struct {
@@ -87,7 +91,7 @@
 		return
 	}
 	if h.refused != hedger.DecisionLate.String() {
-		h.timer.Reset(r.Hedger.Delay(r.route) / hedgeRetries)
+		h.timer.Reset(max(minHedgeRetry, r.Hedger.Delay(r.route)/hedgeRetries))
 	}
 }
 
@@ -105,11 +109,20 @@
 		}
 		return c, false
 	}
-	if a := r.Limiter.AdmitSend(ctx, c.ID); !a.Admitted {
-		r.Picker.Release(c, a.RetryAfter)
-		return c, false
+	a := r.Limiter.AdmitSend(ctx, c.ID)
+	if a.Admitted && (a.Owner == "" || r.mayStillSend(ctx, c)) {
+		return c, true
 	}
-	return c, true
+	r.Picker.Release(c, a.RetryAfter)
+	return c, false
+}
+
+// mayStillSend checks a choice again after the owner of its instance's limit was asked: what was known may have become stale,
+// or the instance may have left.
+func (r *retrier) mayStillSend(ctx context.Context, c balancer.Choice) bool {
+	_, ok := r.checkBeliefs(ctx)
+	usable, _ := r.Tracker.Usable(c.ID)
+	return ok && usable
 }
 
 // observeAnswer records that an attempt was answered before a hedge was due.
