--- a/pkg/balancer/trial.go
+++ b/pkg/balancer/trial.go
@@ -67,8 +67,7 @@
 		if r.LowRetryBudget && s.suspect {
 			after = after * 3 / 2
 		}
-		after += time.Duration(b.unhealthy(s) * float64(unhealthyDelay))
-		if b.isDue(now, s, r, after) {
+		if b.isDue(now, s, r, after, unhealthyDelay) {
 			b.dueTrials = append(b.dueTrials, s)
 		}
 	}
@@ -97,8 +96,7 @@
 	delay := unhealthyTrialDelay - time.Duration(trialsWanted(r)*float64(unhealthyTrialDelay-failingTrialDelay))
 	b.dueTrials = b.dueTrials[:0]
 	for _, s := range b.order {
-		after := onceTrialAfter + time.Duration(b.unhealthy(s)*float64(delay))
-		if b.isDue(now, s, r, after) {
+		if b.isDue(now, s, r, onceTrialAfter, delay) {
 			b.dueTrials = append(b.dueTrials, s)
 		}
 	}
@@ -123,7 +121,9 @@
 // Trials returns the number of trials that this process started.
 func (b *Balancer) Trials() int { return b.trials }
 
-// isDue reports whether an instance without activity for more than a given time gets a trial.
-func (b *Balancer) isDue(now time.Time, s *state, r Request, after time.Duration) bool {
-	return s.trialsInFlight == 0 && now.Sub(s.lastActivityAt) > after && b.hasRoom(now, s, r)
+// isDue reports whether an instance gets a trial. It had no activity for longer than after, and by a part of delay that is
+// the probability that it is unhealthy.
+func (b *Balancer) isDue(now time.Time, s *state, r Request, after, delay time.Duration) bool {
+	idle := now.Sub(s.lastActivityAt) - after
+	return idle > 0 && s.trialsInFlight == 0 && idle > time.Duration(b.unhealthy(s)*float64(delay)) && b.hasRoom(now, s, r)
 }
