Count requests beyond their accounts' rates as not served

Usage counted only requests that were offered to their service. Callers that get 429 are not served either, and placing reaches more instances while many are not. TestRequestsBeyondARateCountAsNotServed fails without the change.

--- a/internal/receiver/exchange.go
+++ b/internal/receiver/exchange.go
@@ -48,10 +48,9 @@
 	configurationVersion int64
 	configurationAge     time.Duration
 	admission            relayer.Admission
-	// offered is set once the request counts as offered to its service, with its level of urgency.
-	offered bool
-	level   int
-	tried   []string
+	// level is the request's level of urgency.
+	level int
+	tried []string
 	// outcomes are those of the attempts at the instances in tried, outcomePending for those in flight.
 	outcomes []string
 	// responses are those that were received, to be closed when the request is over.
@@ -144,7 +143,6 @@
 		}, false
 	}
 	x.Picker.CountRequest(x.service)
-	x.offered = true
 	x.level = aggregator.Level(x.route.EffectivePriority(x.account))
 	x.Picker.CountOffered(x.service, x.level)
 	return result{}, true
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -42,6 +42,8 @@
 	outcomes []balancer.Outcome
 	// pauses are those that instances asked for.
 	pauses []string
+	// served says of each request that ended whether it counts as served.
+	served []bool
 	// limits are the limits that were observed, by instance.
 	limits []string
 	// admitSend decides on requests to instances; nil admits all.
@@ -140,10 +142,11 @@
 func (f *fixture) CountRequest(string)                                 {}
 func (f *fixture) CountOffered(string, int)                            {}
 func (f *fixture) CountAdmitted(string, int, bool)                     {}
-func (f *fixture) CountEnded(string, bool)                             {}
 func (f *fixture) MarkOverdue(balancer.Choice)                         {}
 func (f *fixture) Observe(string, receiver.Reason, int, time.Duration) {}
 
+func (f *fixture) CountEnded(_ string, served bool) { f.served = append(f.served, served) }
+
 func (f *fixture) Pick(_ string, want balancer.Request) (balancer.Choice, bool) {
 	f.picks++
 	id := []string{"i-1", "i-2", "i-3", "i-4", "i-5", "i-6"}[len(want.Tried)]
@@ -224,6 +227,16 @@
 	require.Less(t, f.logs.Len(), 200, "under load, most requests that succeed are counted only")
 }
 
+// What placing and operators know of a service must not leave out the callers that are beyond their rates.
+func TestRequestsBeyondARateCountAsNotServed(t *testing.T) {
+	f := newFixture()
+	f.serve("/safe/", "secret")
+	f.admitted = relayer.Admission{RetryAfter: time.Second, Owner: "10.0.0.9:1"}
+	f.serve("/safe/", "secret")
+	f.serve("/none/", "secret")
+	require.Equal(t, []bool{true, false}, f.served)
+}
+
 func TestNonIdempotentRequestsNeedMoreRecentConnections(t *testing.T) {
 	f := newFixture()
 	f.serve("/once/", "secret")
