Give trials by idempotent requests to the best believed instances, too

Cause: they went to the one of two that was idle for longer, mostly one that still fails, whose expected failures used up the allowance; instances that are well and little used waited behind it.

Change: all trials go to the best of four due ones, where 0.1 of the probability of being unhealthy counts as much as 1 s without activity. (With 1 s for 0.2 or 0.5, requests that run once failed more and TestOutdatedReportsDoNotCauseHerding failed: all processes tried the same ones.)

--- a/pkg/balancer/spells_test.go
+++ b/pkg/balancer/spells_test.go
@@ -343,7 +343,7 @@
 		res = donors.play(seed)
 		t.Logf("%+v", res)
 		require.Less(t, res.failedShare(), 2*once.failedShare())
-		require.Greater(t, res.trials, res.requests/20, "instances that recovered are found again")
+		require.Greater(t, res.reached/res.windows, 0.9, "instances that are well are forgotten")
 	}
 }
 
--- a/pkg/balancer/trial.go
+++ b/pkg/balancer/trial.go
@@ -1,6 +1,9 @@
 package balancer
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// trialAfter is the time without activity after which an instance, whether suspected or merely not chosen,
@@ -10,11 +13,11 @@
 	// remoteTrialAfter is the time without activity before processes of other failure domains start a trial. It is
 	// longer because reports take longer to reach them.
 	remoteTrialAfter = time.Second
-	// unhealthyDelay is how much later a trial is that is certain to fail.
-	unhealthyDelay = 250 * time.Millisecond
-	// trialsSoon is the time within which all processes together start the trials that are due, on average, by idempotent
+	// idempotentRiskDelay is how much later a trial is that is certain to fail.
+	idempotentRiskDelay = 250 * time.Millisecond
+	// idempotentTrialsWithin is the time within which all processes together start the trials that are due, on average, by idempotent
 	// requests. It makes it unlikely that several start a trial of the same instance at the same time.
-	trialsSoon = 50 * time.Millisecond
+	idempotentTrialsWithin = 50 * time.Millisecond
 	// trialFailures is the number of failures of trials by idempotent requests that may be expected for each request; they
 	// have to be sent again. It leaves the larger part of the usual retry budgets to other failures. Up to
 	// maxTrialFailures that are not used are kept.
@@ -23,23 +26,24 @@
 	// failingTrialFailures is added to trialFailures while many requests aren't served and there are retries left.
 	failingTrialFailures = 0.1
 	// onceTrialAfter is the time without activity after which an instance gets a trial by a request that may run only once,
-	// if it is certainly healthy. If it is certainly unhealthy, it is unhealthyTrialDelay longer, and in between in
+	// if it is certainly healthy. If it is certainly unhealthy, it is onceRiskDelay longer, and in between in
 	// proportion: a trial that fails is lost, and most instances that failed still fail some seconds later. While many
-	// requests of the service aren't served, the delay is failingTrialDelay.
-	onceTrialAfter      = 900 * time.Millisecond
-	unhealthyTrialDelay = 7 * time.Second
-	failingTrialDelay   = 2500 * time.Millisecond
+	// requests of the service aren't served, the delay is failingOnceRiskDelay.
+	onceTrialAfter       = 900 * time.Millisecond
+	onceRiskDelay        = 7 * time.Second
+	failingOnceRiskDelay = 2500 * time.Millisecond
 	// minUnservedShare is the share of the requests that aren't served from which on trials are more frequent, and
 	// fullTrialsShare that from which on they are as frequent as they get.
 	minUnservedShare = 0.07
 	fullTrialsShare  = 0.1
-	// trialsWithin is the time within which all processes together start the trials that are missing, on average.
-	trialsWithin = 400 * time.Millisecond
+	// onceTrialsWithin is the time within which all processes together start the trials that are missing, on average.
+	onceTrialsWithin = 400 * time.Millisecond
 	// maxOnceTrials is the largest share of the requests that may run only once that is used for trials.
 	maxOnceTrials = 0.4
-	// trialSamples is the number of instances among which such a trial goes to the one with the least evidence against it.
-	// All processes would otherwise try the same one.
+	// trialSamples is the number of random instances among which one gets a trial that is due. All processes would otherwise
+	// try the same one. The probability of being unhealthy counts as much as riskIdleTime without activity.
 	trialSamples = 4
+	riskIdleTime = 10 * time.Second
 )
 
 // pickTrial returns an instance for a trial, or nil.
@@ -67,33 +71,30 @@
 		if r.LowRetryBudget && s.suspect {
 			after = after * 3 / 2
 		}
-		if b.isDue(now, s, r, after, unhealthyDelay) {
+		if b.isDue(now, s, r, after, idempotentRiskDelay) {
 			b.dueTrials = append(b.dueTrials, s)
 		}
 	}
 	n := len(b.dueTrials)
-	if n == 0 || b.random.Float64() >= float64(n)/(b.traffic.rate(now)*trialsSoon.Seconds()) {
+	if n == 0 || b.random.Float64() >= float64(n)/(b.traffic.rate(now)*idempotentTrialsWithin.Seconds()) {
 		return nil
 	}
-	x, y := b.dueTrials[b.random.IntN(n)], b.dueTrials[b.random.IntN(n)]
-	if y.lastActivityAt.Before(x.lastActivityAt) {
-		x = y
-	}
-	f := breakShare * b.unhealthy(x)
+	best := b.sampleDue(now)
+	f := breakShare * b.unhealthy(best)
 	if f > b.trialAllowance {
 		return nil
 	}
 	b.trialAllowance -= f
-	return x
+	return best
 }
 
 // pickOnceTrial returns an instance for a trial by a request that may run only once. All processes together start them
-// within trialsWithin, whatever the rate of requests is.
+// within onceTrialsWithin, whatever the rate of requests is.
 func (b *Balancer) pickOnceTrial(now time.Time, r Request) *state {
 	if b.random.Float64() >= maxOnceTrials {
 		return nil
 	}
-	delay := unhealthyTrialDelay - time.Duration(trialsWanted(r)*float64(unhealthyTrialDelay-failingTrialDelay))
+	delay := onceRiskDelay - time.Duration(trialsWanted(r)*float64(onceRiskDelay-failingOnceRiskDelay))
 	b.dueTrials = b.dueTrials[:0]
 	for _, s := range b.order {
 		if b.isDue(now, s, r, onceTrialAfter, delay) {
@@ -101,13 +102,21 @@
 		}
 	}
 	n := len(b.dueTrials)
-	if n == 0 || b.random.Float64()*maxOnceTrials >= float64(n)/(b.traffic.rate(now)*trialsWithin.Seconds()) {
+	if n == 0 || b.random.Float64()*maxOnceTrials >= float64(n)/(b.traffic.rate(now)*onceTrialsWithin.Seconds()) {
 		return nil
 	}
-	best := b.dueTrials[b.random.IntN(n)]
-	for range trialSamples - 1 {
-		if s := b.dueTrials[b.random.IntN(n)]; s.evidence < best.evidence {
-			best = s
+	return b.sampleDue(now)
+}
+
+// sampleDue returns one of trialSamples of the instances that are due: one that is less likely to be unhealthy, or had no
+// activity for longer.
+func (b *Balancer) sampleDue(now time.Time) *state {
+	var best *state
+	lowest := math.Inf(1)
+	for range trialSamples {
+		s := b.dueTrials[b.random.IntN(len(b.dueTrials))]
+		if c := b.unhealthy(s) - float64(now.Sub(s.lastActivityAt))/float64(riskIdleTime); c < lowest {
+			best, lowest = s, c
 		}
 	}
 	return best
