--- a/cmd/soak/server.go
+++ b/cmd/soak/server.go
@@ -33,6 +33,8 @@
 	// startMs is the start time in Unix milliseconds, and heartbeats counts the heartbeats.
 	startMs    int64
 	heartbeats int64
+	// warmAt is until when the server says that it warms up.
+	warmAt time.Time
 	// failShare, shedShare, hangShare and cutShare are the shares of requests that end with an error, are refused, get no
 	// answer or get a truncated one, and copyShare of those whose answer or refusal is sent once more, late. extraDelay is
 	// added to the time of each request.
@@ -48,9 +50,9 @@
 	// earlyShare is the share of requests that are answered before their body is read.
 	earlyShare float64
 	extraDelay time.Duration
-	// pauseShare is the share of requests that are refused with a pause, endlessShare of those that get bytes without end, and
-	// headCutShare of those whose answer ends in its head.
-	pauseShare, endlessShare, headCutShare float64
+	// pauseShare is the share of requests that are refused with a pause, endlessShare of those that get bytes without end,
+	// headCutShare of those whose answer ends in its head, and noStatusShare of those whose response has a status that is none.
+	pauseShare, endlessShare, headCutShare, noStatusShare float64
 	// strayShare is the share of answers with a refusal that names no request before them.
 	strayShare float64
 }
@@ -94,6 +96,7 @@
 	p := s.plan(r, req)
 	id := req.Header.Get("Request-Id")
 	f.checker.recordArrival(s.name, s.service, id, time.Now())
+	f.checker.recordDomainArrival(s.domain, id, time.Now())
 	ms, err := strconv.ParseInt(req.Header.Get("Deadline-Ms"), 10, 64)
 	if err != nil {
 		ms = math.MaxInt32 // The server would work for ever.
@@ -140,6 +143,12 @@
 	}
 	p.pauses = r.Float64() < s.pauseShare
 	p.refuses = p.pauses || x < s.shedShare
+	p.respond = s.response(r, req, x, p.refuses, p.pauses)
+	return p
+}
+
+// response draws how a server responds, with x uniform in [0, 1). s.mu must be held.
+func (s *server) response(r *rand.Rand, req *http.Request, x float64, refuses, pauses bool) emulator.Behavior {
 	part, headPart := 1.0, r.Float64()
 	if r.IntN(4) == 0 {
 		part = r.Float64()
@@ -149,31 +158,32 @@
 	}
 	copied := r.Float64() < s.copyShare
 	switch x -= s.shedShare; {
-	case p.pauses:
-		p.respond = emulator.Pause(statedPause)
-	case p.refuses:
-		p.respond = emulator.Refuse(refusalStatuses[r.IntN(len(refusalStatuses))])
+	case pauses:
+		return emulator.Pause(statedPause)
+	case refuses:
+		refusal := emulator.Refuse(refusalStatuses[r.IntN(len(refusalStatuses))])
 		if copied && r.IntN(2) == 0 {
-			p.respond = late(p.respond)
+			return late(refusal)
 		}
+		return refusal
 	case r.Float64() < s.endlessShare:
-		p.respond = emulator.Endless("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n\r\n", "x")
+		return emulator.Endless("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n\r\n", "x")
 	case r.Float64() < s.headCutShare:
-		p.respond = emulator.CutHead(func(n int) int { return int(headPart * float64(n)) })
+		return emulator.CutHead(func(n int) int { return int(headPart * float64(n)) })
+	case s.noStatusShare > 0 && r.Float64() < s.noStatusShare:
+		return emulator.WithStatus(invalidStatuses[r.IntN(len(invalidStatuses))])
 	case x < s.failShare:
-		p.respond = emulator.Fail
+		return emulator.Fail
 	case x < s.failShare+s.hangShare:
-		p.respond = emulator.Hang
+		return emulator.Hang
 	case x < s.failShare+s.hangShare+s.cutShare && req.Method != http.MethodHead: // The answer to HEAD is whole without a body.
-		p.respond = emulator.Truncate
+		return emulator.Truncate
 	case copied:
-		p.respond = late(emulator.Answer)
+		return late(emulator.Answer)
 	case r.Float64() < s.strayShare:
-		p.respond = emulator.StrayRefusal(strayStatuses[r.IntN(len(strayStatuses))], emulator.Answer)
-	default:
-		p.respond = emulator.Answer
+		return emulator.StrayRefusal(strayStatuses[r.IntN(len(strayStatuses))], emulator.Answer)
 	}
-	return p
+	return emulator.Answer
 }
 
 // awaitSlot waits until one of the slots is free, and takes it. It returns false if none is within the time limit.
@@ -195,6 +205,9 @@
 	s.atWork--
 }
 
+// invalidStatuses are statuses that no final response has.
+var invalidStatuses = []string{"000", "001", "099", "101", "600", "999"}
+
 // refusalStatuses are the statuses with which a server refuses a request.
 var refusalStatuses = []int{http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusBadRequest}
 
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -10,6 +10,7 @@
 
 	"github.com/jacinthproxy/jacinthproxy/internal/relayer"
 	"github.com/jacinthproxy/jacinthproxy/internal/router"
+	"github.com/jacinthproxy/jacinthproxy/pkg/admitter"
 	"github.com/jacinthproxy/jacinthproxy/pkg/balancer"
 )
 
@@ -55,18 +56,22 @@
 	// peerInFlight is what SetPeerInFlight was called with last.
 	peerInFlight map[string]int
 	usage        *usage
+	room         *room
+	// hedges is nil unless hedges have a limit.
+	hedges *Hedges
 }
 
 type service struct {
 	balancer *balancer.Balancer
 	budget   *Budget
+	retries  *admitter.Retries
 }
 
 // New returns a picker without instances.
 func New(o Options) *Picker {
 	return &Picker{
 		Options: o, started: o.Clock.Now(), services: map[string]*service{}, instanceService: map[string]*service{},
-		addresses: map[netip.AddrPort]bool{}, latencies: map[string]time.Duration{}, usage: newUsage(o.Clock),
+		addresses: map[netip.AddrPort]bool{}, latencies: map[string]time.Duration{}, usage: newUsage(o.Clock), room: newRoom(admitter.New(o.Random)),
 	}
 }
 
@@ -78,6 +83,7 @@
 	if s == nil {
 		s = &service{
 			balancer: balancer.New(p.Domain, p.Random), budget: NewBudget(p.started, p.RetryWindow, p.RetryRatio, p.RetrySlack, p.VMCount()),
+			retries: admitter.NewRetries(),
 		}
 		p.services[name] = s
 	}
@@ -119,6 +125,9 @@
 	s := p.service(name)
 	s.budget.Resize(p.RetrySlack, p.VMCount())
 	s.budget.CountRequest(p.Clock.Now())
+	if p.hedges != nil {
+		p.hedges.hedger.CountRequest(p.Clock.Now(), name)
+	}
 }
 
 // trialReserve is the number of retries that a VM must have left to try suspected instances freely: one for the request
@@ -165,11 +174,12 @@
 	return at.Sub(now), true
 }
 
-// TakeRetry takes one retry of a service from the budget, and reports whether one was left.
+// TakeRetry takes one retry of a service from the budget, and reports whether one was left that no failed request waits for.
 func (p *Picker) TakeRetry(name string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.service(name).budget.Take(p.Clock.Now())
+	s := p.service(name)
+	return s.retries.Waiting() == 0 && s.budget.Take(p.Clock.Now())
 }
 
 // TypicalLatency returns the typical latency of a route's requests.
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -16,6 +16,7 @@
 	"github.com/jacinthproxy/jacinthproxy/internal/messenger/wire"
 	"github.com/jacinthproxy/jacinthproxy/internal/tracker"
 	"github.com/jacinthproxy/jacinthproxy/pkg/balancer"
+	"github.com/jacinthproxy/jacinthproxy/pkg/limiter"
 	"github.com/jacinthproxy/jacinthproxy/pkg/placer"
 )
 
@@ -34,7 +35,9 @@
 	// RateWindow is the span over which the rates of accounts are enforced.
 	RateWindow time.Duration
 	// DrainTimeout is how long an instance that left may still get requests.
-	DrainTimeout  time.Duration
+	DrainTimeout time.Duration
+	// WarmupBound is what instances that warm up may get; the zero value sets no bound beyond their rate.
+	WarmupBound   limiter.WarmupBound
 	Tracker       *tracker.Tracker
 	Messenger     Messenger
 	Source        Source
@@ -48,6 +51,7 @@
 	Options
 	rates     *rates
 	limits    *limits
+	restarts  *restarts
 	transfers *transfers
 	startedAt time.Time
 	// listed is set once this VM has read the list of VMs, heardLeader once the leader of its domain has passed on what it
@@ -70,6 +74,8 @@
 	lastExchange map[netip.AddrPort]time.Time
 	// leaderSince is when this VM became the leader of its domain; zero while it is not.
 	leaderSince time.Time
+	// leadsInsteadSince is when this VM led first since it last heard from another leader; zero if it has not led since.
+	leadsInsteadSince time.Time
 	// outgoing collects this VM's observations for its leader.
 	outgoing outbox
 	// outboxes collect the observations of this and other VMs for the peers that exchange with this one.
@@ -129,6 +135,7 @@
 		reads: map[string]float64{}, decisions: map[string]float64{}, limitDecisions: map[string]float64{},
 	}
 	r.rates, r.limits, r.transfers = newRates(r), newLimits(r), newTransfers(o.LinkSpeed)
+	r.restarts = newRestarts(r)
 	return r
 }
 
@@ -291,6 +298,7 @@
 	r.mu.Lock()
 	r.outgoing.add(instance, o, relative)
 	r.mu.Unlock()
+	r.restarts.observe(r.Self.Address, instance, map[balancer.Outcome]int{o: 1})
 	if urgent(o) {
 		r.wakeReport()
 	}
@@ -350,7 +358,7 @@
 		p, err := r.handleFetch(ctx, b.FetchConfiguration)
 		return &wire.Reply{Body: &wire.Reply_ConfigurationPart{ConfigurationPart: p}}, nil, err
 	case *wire.Request_Take:
-		t, err := r.rates.grant(b.Take.GetAccount(), int(b.Take.GetWant()))
+		t, err := r.rates.grant(from, b.Take)
 		return takenReply(t), nil, err
 	case *wire.Request_Granted:
 		return takenReply(&wire.Taken{}), nil, r.rates.handleGranted(from, b.Granted)
