--- a/pkg/balancer/reuse.go
+++ b/pkg/balancer/reuse.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// reuseWindow is the time after an answer of an instance to this process in which the connection it came on is likely to
-	// be in use again. Requests that may run only once don't use one that was idle for longer than about that.
+	// reuseWindow is the time after an answer of an instance to this process in which the instance is preferred: the
+	// connection is likely to be open, and the instance to be well.
 	reuseWindow = 900 * time.Millisecond
 	// reuseSaving is what a kept connection is worth, in service times: the handshake, for the process and the instance.
 	reuseSaving = 0.3
