--- a/pkg/balancer/spells_test.go
+++ b/pkg/balancer/spells_test.go
@@ -356,3 +356,23 @@
 		require.Greater(t, 2*res.reused, res.requests)
 	}
 }
+
+// TestPriorFollowsTheInstances guards against a belief about instances of which nothing is known that does not fit them.
+func TestPriorFollowsTheInstances(t *testing.T) {
+	prior := func(fails func(i int) bool) float64 {
+		b := newBalancer(100)
+		for round := range 4 {
+			for i := range 100 {
+				o := balancer.OutcomeAnswered
+				if fails(i) {
+					o = balancer.OutcomeBroken
+				}
+				now := start.Add(time.Duration(round) * 11 * time.Second)
+				b.ApplyReport(now, balancer.Report{Instance: fmt.Sprint("i", i), Counts: map[balancer.Outcome]int{o: 1}})
+			}
+		}
+		return b.Prior()
+	}
+	require.Less(t, prior(func(int) bool { return false }), 0.03)
+	require.InDelta(t, 0.3, prior(func(i int) bool { return i%10 < 3 }), 0.08)
+}
