--- a/internal/receiver/exchange.go
+++ b/internal/receiver/exchange.go
@@ -48,8 +48,9 @@
 	configurationVersion int64
 	configurationAge     time.Duration
 	admission            relayer.Admission
-	level                int
-	tried                []string
+	// level is the request's level of urgency.
+	level int
+	tried []string
 	// outcomes are those of the attempts at the instances in tried, outcomePending for those in flight.
 	outcomes []string
 	// responses are those that were received, to be closed when the request is over.
