Keep half of the limit on hedges for spells of slow answers

Change: the delay is at the quantile of half of the limit, and a hedge leaves one retry. The counts name the first refusal; the last one of a request that hangs is always that it is too late.

Taking out each of limit, bound on use, reserve, adaptation and all hedges fails tests again.

--- a/internal/receiver/hedge.go
+++ b/internal/receiver/hedge.go
@@ -24,7 +24,7 @@
 }
 
 // The ends of hedges in metrics, beside the decisions that refused them. A request that was hedged counts as sent and as won
-// or lost; one that was to be hedged, but was not, by the last refusal.
+// or lost; one that was to be hedged, but was not, by the first refusal.
 const (
 	hedgeSent       = "sent"
 	hedgeWon        = "won"
@@ -42,9 +42,10 @@
 	attempt *attempt
 	// due is set once attempt took longer than the delay of the route.
 	due bool
-	// sent is the hedge, nil if there is none, and refused the last refusal.
+	// sent is the hedge, nil if there is none, and refused what refused it first. Late is set once it would be too late.
 	sent    *attempt
 	refused string
+	late    bool
 }
 
 // awaitHedge starts the timer of the hedge for an attempt. Requests whose body is gone and those that may run once only get none.
@@ -86,32 +87,43 @@
 		r.send(ctx, c, true)
 		return
 	}
-	if h.refused != hedger.DecisionLate.String() {
+	if !h.late {
 		h.timer.Reset(r.Hedger.Delay(r.route) / hedgeRetries)
 	}
 }
 
 // chooseHedge picks the instance of a hedge by a recent view of the instances and a recent configuration.
 func (r *retrier) chooseHedge(ctx context.Context) (c balancer.Choice, ok bool) {
-	r.hedging.refused = hedgeNoInstance
 	if _, ok = r.checkBeliefs(ctx); !ok {
+		r.refuseHedge(hedgeNoInstance)
 		return c, false
 	}
 	want := balancer.Request{Idempotent: true, AvoidLimited: true, Tried: r.tried}
 	c, d, ok := r.Hedger.Pick(r.service, r.route, want, r.deadline.Sub(r.Clock.Now()))
 	if !ok {
+		refusal := hedgeNoInstance
 		if d != hedger.DecisionSend {
-			r.hedging.refused = d.String()
+			refusal = d.String()
 		}
+		r.refuseHedge(refusal)
+		r.hedging.late = d == hedger.DecisionLate
 		return c, false
 	}
 	if a := r.Limiter.AdmitSend(ctx, c.ID); !a.Admitted {
 		r.Picker.Release(c, a.RetryAfter)
+		r.refuseHedge(hedgeNoInstance)
 		return c, false
 	}
 	return c, true
 }
 
+// refuseHedge notes what refused the hedge first.
+func (r *retrier) refuseHedge(refusal string) {
+	if r.hedging.refused == "" {
+		r.hedging.refused = refusal
+	}
+}
+
 // observeAnswer records that an attempt was answered before a hedge was due.
 func (r *retrier) observeAnswer(a *attempt, o balancer.Outcome) {
 	if o == balancer.OutcomeAnswered && a == r.hedging.attempt && !r.hedging.due {
--- a/pkg/hedger/doc.go
+++ b/pkg/hedger/doc.go
@@ -2,8 +2,8 @@
 // runs it: a hedge.
 //
 // The load that it answers is a few instances that are much slower than the others, or silent, while the service has free
-// slots. A hedge starts when the request runs longer than all but a share of the route's requests lately did; the same share
-// of a service's requests is the limit on its hedges. When all instances are slow, the time that few requests exceed rises
+// slots. A hedge starts when the request runs longer than all but a share of the route's requests lately did. The limit on the
+// hedges is twice that share of a service's requests. When all instances are slow, the time that few requests exceed rises
 // with them, and when few slots are free there are no hedges.
 //
 // Each VM decides for itself. A VM's credit is earned by the requests of callers that it counted, starts at zero and is lost
--- a/pkg/hedger/hedger.go
+++ b/pkg/hedger/hedger.go
@@ -30,7 +30,9 @@
 	creditSpan = 10 * time.Second
 	// minKeptCredit is the credit that a VM with few requests may keep. With less, it would never send a hedge.
 	minKeptCredit = 1.0
-	// maxSlowShare bounds the share of a route's requests that are taken for slow: the answers beyond are the usual ones.
+	// slowShare is the share of a route's requests that are taken for slow, as a part of the limit; the rest of the limit is for
+	// spells with more of them. maxSlowShare bounds it: the answers beyond are the usual ones.
+	slowShare    = 0.5
 	maxSlowShare = 0.1
 	// initialDelayShare is the delay of a route before its first answers, as a share of its objective.
 	initialDelayShare = 0.6
@@ -41,8 +43,8 @@
 	// maxUse is the share of the service's slots in use from which on there are no hedges. Room must be left for first sends
 	// that other VMs have not reported yet.
 	maxUse = 0.7
-	// retryReserve is how many retries a hedge leaves in the VM's budget.
-	retryReserve = 2
+	// retryReserve is how many retries a hedge leaves in the VM's budget, for another request that fails meanwhile.
+	retryReserve = 1
 )
 
 // Hedger decides on the hedges of one VM. It is not safe for concurrent use.
@@ -99,9 +101,9 @@
 }
 
 // Observe records whether a request ran longer than the delay of its route at its first instance. It moves the delay to
-// where the share of these is that of the limit.
+// where the share of these is half of the limit.
 func (h *Hedger) Observe(r Route, slow bool) {
-	share := min(h.share, maxSlowShare)
+	share := min(slowShare*h.share, maxSlowShare)
 	f := 1 - delayGain*share
 	if slow {
 		f = 1 + delayGain*(1-share)
