--- a/internal/picker/hedge.go
+++ b/internal/picker/hedge.go
@@ -8,24 +8,24 @@
 	"github.com/jacinthproxy/jacinthproxy/pkg/hedger"
 )
 
-// usageTTL is how long the usage of a service's slots is taken for the same. It bounds the work while all requests are slow.
-const usageTTL = 20 * time.Millisecond
+// slotUseTTL is how long the usage of a service's slots is taken for the same. It bounds the work while all requests are slow.
+const slotUseTTL = 20 * time.Millisecond
 
 // Hedges chooses the instances of hedges. It shares the state of its picker, and is safe for concurrent use.
 type Hedges struct {
 	p      *Picker
 	hedger *hedger.Hedger
-	usages map[string]usage
+	usages map[string]slotUse
 }
 
-type usage struct {
+type slotUse struct {
 	hedger.Usage
 	at time.Time
 }
 
 // EnableHedges limits hedges to a share of a service's requests. It must be called before the first Pick.
 func (p *Picker) EnableHedges(share float64) *Hedges {
-	p.hedges = &Hedges{p: p, hedger: hedger.New(share), usages: map[string]usage{}}
+	p.hedges = &Hedges{p: p, hedger: hedger.New(share), usages: map[string]slotUse{}}
 	return p.hedges
 }
 
@@ -52,7 +52,7 @@
 	defer p.mu.Unlock()
 	s, now := p.service(service), p.Clock.Now()
 	d = h.hedger.Decide(now, hedger.Hedge{
-		Service: service, Route: h.route(r), Left: left, Usage: h.usage(now, service, s), RetriesLeft: s.budget.Left(now),
+		Service: service, Route: h.route(r), Left: left, Usage: h.slotUse(now, service, s), RetriesLeft: s.budget.Left(now),
 	})
 	if d != hedger.DecisionSend {
 		return c, d, false
@@ -71,9 +71,9 @@
 	return h.hedger.Credit()
 }
 
-func (h *Hedges) usage(now time.Time, name string, s *service) hedger.Usage {
+func (h *Hedges) slotUse(now time.Time, name string, s *service) hedger.Usage {
 	u, ok := h.usages[name]
-	if !ok || now.Sub(u.at) >= usageTTL {
+	if !ok || now.Sub(u.at) >= slotUseTTL {
 		u.at = now
 		u.InUse, u.Slots = s.balancer.SlotsInUse(now)
 		h.usages[name] = u
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -10,6 +10,7 @@
 
 	"github.com/jacinthproxy/jacinthproxy/internal/relayer"
 	"github.com/jacinthproxy/jacinthproxy/internal/router"
+	"github.com/jacinthproxy/jacinthproxy/pkg/admitter"
 	"github.com/jacinthproxy/jacinthproxy/pkg/balancer"
 )
 
@@ -54,6 +55,8 @@
 	latencies       map[string]time.Duration
 	// peerInFlight is what SetPeerInFlight was called with last.
 	peerInFlight map[string]int
+	usage        *usage
+	room         *room
 	// hedges is nil unless hedges have a limit.
 	hedges *Hedges
 }
@@ -61,13 +64,14 @@
 type service struct {
 	balancer *balancer.Balancer
 	budget   *Budget
+	retries  *admitter.Retries
 }
 
 // New returns a picker without instances.
 func New(o Options) *Picker {
 	return &Picker{
 		Options: o, started: o.Clock.Now(), services: map[string]*service{}, instanceService: map[string]*service{},
-		addresses: map[netip.AddrPort]bool{}, latencies: map[string]time.Duration{},
+		addresses: map[netip.AddrPort]bool{}, latencies: map[string]time.Duration{}, usage: newUsage(o.Clock), room: newRoom(admitter.New(o.Random)),
 	}
 }
 
@@ -79,6 +83,7 @@
 	if s == nil {
 		s = &service{
 			balancer: balancer.New(p.Domain, p.Random), budget: NewBudget(p.started, p.RetryWindow, p.RetryRatio, p.RetrySlack, p.VMCount()),
+			retries: admitter.NewRetries(),
 		}
 		p.services[name] = s
 	}
@@ -134,6 +139,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s, now := p.service(name), p.Clock.Now()
+	r.UnservedShare = p.FleetUsage(name).Sum.UnservedShare()
 	r.LowRetryBudget = r.LowRetryBudget || s.budget.Left(now) < trialReserve
 	return s.balancer.Pick(now, r)
 }
@@ -168,11 +174,12 @@
 	return at.Sub(now), true
 }
 
-// TakeRetry takes one retry of a service from the budget, and reports whether one was left.
+// TakeRetry takes one retry of a service from the budget, and reports whether one was left that no failed request waits for.
 func (p *Picker) TakeRetry(name string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.service(name).budget.Take(p.Clock.Now())
+	s := p.service(name)
+	return s.retries.Waiting() == 0 && s.budget.Take(p.Clock.Now())
 }
 
 // TypicalLatency returns the typical latency of a route's requests.
@@ -202,6 +209,7 @@
 		s.balancer.Done(p.Clock.Now(), c, o, relative)
 	}
 	p.mu.Unlock()
+	p.countSend(c.Service, o)
 	p.reporter.Observe(c.ID, o, relative)
 }
 
@@ -274,6 +282,31 @@
 	return js
 }
 
+// Trials returns the requests used for trials since the start, by service.
+func (p *Picker) Trials() map[string]float64 {
+	return p.eachBalancer(func(b *balancer.Balancer) float64 { return float64(b.Trials()) })
+}
+
+// Priors returns the probability that an instance of which nothing recent is known is unhealthy, by service.
+func (p *Picker) Priors() map[string]float64 { return p.eachBalancer((*balancer.Balancer).Prior) }
+
+func (p *Picker) eachBalancer(f func(*balancer.Balancer) float64) map[string]float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	vs := make(map[string]float64, len(p.services))
+	for n, s := range p.services {
+		vs[n] = f(s.balancer)
+	}
+	return vs
+}
+
+// Room returns the room of a service by failure domain.
+func (p *Picker) Room(name string) map[string]balancer.Room {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.service(name).balancer.Room(p.Clock.Now())
+}
+
 // RetriesLeft returns the retries left in this VM's share of the budget, by service.
 func (p *Picker) RetriesLeft() map[string]float64 {
 	p.mu.Lock()
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -115,10 +115,6 @@
 	r.inFlight[a] = true
 	out := r.instanceRequest(c.ID, r.deadline.Sub(a.startedAt))
 	out.Answering = &a.answering
-	maxIdle := maxIdleNonIdempotent
-	if r.route.Idempotent {
-		maxIdle = maxIdleIdempotent
-	}
 	go func() {
 		a.response, a.err = r.Sender.Send(attemptCtx, c.Address, out, maxIdle)
 		r.finished <- a
--- a/internal/receiver/exchange.go
+++ b/internal/receiver/exchange.go
@@ -20,6 +20,7 @@
 	"github.com/jacinthproxy/jacinthproxy/internal/logger"
 	"github.com/jacinthproxy/jacinthproxy/internal/relayer"
 	"github.com/jacinthproxy/jacinthproxy/internal/router"
+	"github.com/jacinthproxy/jacinthproxy/pkg/aggregator"
 )
 
 // exchange is one request of a caller and the state of serving it.
@@ -47,7 +48,10 @@
 	configurationVersion int64
 	configurationAge     time.Duration
 	admission            relayer.Admission
-	tried                []string
+	// offered is set once the request counts as offered to its service, with its level of urgency.
+	offered bool
+	level   int
+	tried   []string
 	// outcomes are those of the attempts at the instances in tried, outcomePending for those in flight.
 	outcomes []string
 	// responses are those that were received, to be closed when the request is over.
@@ -142,7 +146,9 @@
 		}, false
 	}
 	x.Picker.CountRequest(x.service)
-	return result{}, true
+	x.offered = true
+	x.level = aggregator.Level(x.route.EffectivePriority(x.account))
+	return x.checkRoom()
 }
 
 // requestTarget returns the path and query exactly as the caller sent them.
@@ -290,7 +296,7 @@
 	}
 	r := forwarder.Request{
 		ID: x.id, Method: x.req.Method, Target: x.target, Host: x.req.Host, Header: h,
-		Body: x.body, Length: int64(len(x.body)),
+		Body: x.body, Length: int64(len(x.body)), RunsOnce: !x.route.Idempotent,
 	}
 	if x.bodyRest != nil {
 		r.BodyRest, r.Length, r.Chunked = x.bodyRest, x.req.ContentLength, x.req.ContentLength < 0
@@ -301,12 +307,16 @@
 // finish responds to the caller, counts the request, and logs it unless it ended well at the first instance. It
 // panics with http.ErrAbortHandler if the caller disconnected.
 func (x *exchange) finish(res result) {
+	if res.response != nil && !forwarder.IsFinal(res.status) {
+		res = refuse(ReasonBroken, http.StatusBadGateway, forwarder.ErrNoStatus.Error())
+	}
 	took := x.Clock.Since(x.arrivedAt)
 	name := ""
 	if x.route != nil {
 		name = x.route.Name
 	}
 	x.Observer.Observe(name, res.reason, res.status, took)
+	x.countEnded(res)
 	if res.reason != ReasonAnswered || len(x.tried) > 1 || res.status >= http.StatusInternalServerError {
 		x.logRequest(res, name, took)
 	} else if x.answerLog.AllowN(x.Clock.Now(), 1) {
@@ -329,6 +339,19 @@
 		x.writeResponse(res)
 		return
 	}
+	x.writeRefusal(res)
+}
+
+// countEnded counts a request that reached its service's admission, and whether it was served.
+func (x *exchange) countEnded(res result) {
+	if x.service != "" && res.reason != ReasonCanceled {
+		x.Picker.CountEnded(x.service, res.reason == ReasonAnswered && res.status < http.StatusInternalServerError)
+	}
+}
+
+// writeRefusal writes this VM's own response to the caller.
+func (x *exchange) writeRefusal(res result) {
+	h := x.w.Header()
 	h.Set(x.HeaderNames.RequestID, x.id)
 	if res.retryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(res.retryAfter.Seconds(), 'f', 2, 64))
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -48,10 +48,14 @@
 	if m.LoadsKnown {
 		m.Loads = encodeLoads(r.InstanceStats.InFlight())
 	}
+	sentUsage := r.addUsage(m, k.usageSentAt)
 	b, err := r.sendExchange(ctx, to.Address, m)
 	if err != nil {
 		return err
 	}
+	if sentUsage {
+		k.usageSentAt = began
+	}
 	r.clearSuspicion(to.Address)
 	if m.LoadsKnown {
 		k.loadsSentAt = began
@@ -61,6 +65,11 @@
 	}
 	k.statementsSequence = statementsSequence
 	r.applyBeliefs(to, leader, began, k, b)
+	if !leader {
+		r.mu.Lock()
+		r.leadsInsteadSince = time.Time{}
+		r.mu.Unlock()
+	}
 	if !leader && b.GetConfigurationKnown() && b.GetInstancesKnown() {
 		r.heardLeader.Store(true)
 	}
@@ -106,6 +115,7 @@
 // that the peer held the reply, because the reply may have waited here unread.
 func (r *Relayer) applyBeliefs(from placer.VM, leader bool, began time.Time, k cursor, b *wire.Beliefs) {
 	now := r.Clock.Now()
+	r.Tracker.MergeDrains(from.Address.String(), fromDrains(b.GetDrains()))
 	if c := b.GetConfiguration(); len(c) > 0 {
 		var conf router.Configuration
 		if err := json.Unmarshal(c, &conf); err != nil {
@@ -130,6 +140,7 @@
 	}
 	r.Tracker.MergeInstances(from.Address, instances)
 	r.Tracker.MergeStatements(from.Address.String(), fromStatements(now, sent, b.GetStatements()))
+	r.Tracker.MergeWarmups(from.Address.String(), fromWarmups(now, b.GetWarmups()))
 	r.applyVersion(from.Address, b, sent)
 	for _, m := range b.GetMembers() {
 		vm, err := messenger.FromVM(m.GetVm())
@@ -152,13 +163,14 @@
 	}
 	r.mu.Unlock()
 	r.applyReports(from.Address, b)
+	r.receiveDomainUsage(sent, b)
 }
 
 // applyReports processes what a peer reports about the instances.
 func (r *Relayer) applyReports(from netip.AddrPort, b *wire.Beliefs) {
 	hasLoads := b.GetLoadsKnown()
 	if !r.IsLeader() {
-		r.InstanceStats.ApplyReports(decodeReports(b.GetSeen()))
+		r.applySeen(from, b.GetSeen())
 		if hasLoads {
 			r.InstanceStats.SetPeerInFlight(decodeLoads(b.GetLoads()))
 		}
@@ -172,6 +184,13 @@
 	r.InstanceStats.SetPeerInFlight(r.inFlightExcept(r.Self.Address, true))
 }
 
+// applySeen processes the outcomes that a peer observed or passed on.
+func (r *Relayer) applySeen(from netip.AddrPort, ms []*wire.Seen) {
+	rs := decodeReports(ms)
+	r.InstanceStats.ApplyReports(rs)
+	r.restarts.observeAll(from, rs)
+}
+
 // distribute adds the outcomes that one VM observed to the outboxes of the other VMs, and applies them here. Reports
 // from the leader of another domain are not sent on to other leaders.
 func (r *Relayer) distribute(from netip.AddrPort, fromLeader bool, ms []*wire.Seen) {
@@ -179,7 +198,7 @@
 		return
 	}
 	if from != r.Self.Address {
-		r.InstanceStats.ApplyReports(decodeReports(ms))
+		r.applySeen(from, ms)
 	}
 	hasUrgent := anyUrgent(ms)
 	r.mu.Lock()
@@ -233,6 +252,7 @@
 	if !m.GetLeader() && m.GetLoadsKnown() {
 		r.peerLoads.set(from.Address, loadReport{decodeLoads(m.GetLoads()), began, false})
 	}
+	r.receiveUsage(from.Address, m)
 	r.distribute(from.Address, false, m.GetSeen())
 	r.Tracker.MergeStatements(from.Address.String(), fromStatements(began, began, m.GetStatements()))
 	sequence := m.GetSequence()
@@ -266,6 +286,7 @@
 		r.reportedInstances = len(rep.Loads)
 		r.mu.Unlock()
 	}
+	r.addDomainUsage(rep, b, m.GetLeader())
 	rep.Live, rep.LiveFleet = r.liveCounts()
 	return rep
 }
@@ -350,7 +371,8 @@
 			Vm: messenger.ToVM(m.VM), Role: uint32(m.Role), Capacity: m.Capacity, AgeMs: ageMs(now, m.AsOf),
 		})
 	}
-	rep.Statements = toStatements(now, c.Statements)
+	rep.Statements, rep.Warmups = toStatements(now, c.Statements), toWarmups(now, c.Warmups)
+	rep.Drains, rep.DrainsKnown = toDrains(c.Drains), true
 	return rep
 }
 
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"runtime/debug"
+	"strconv"
 	"sync"
 	"time"
 
@@ -24,6 +25,7 @@
 	"github.com/jacinthproxy/jacinthproxy/internal/relayer"
 	"github.com/jacinthproxy/jacinthproxy/internal/router"
 	"github.com/jacinthproxy/jacinthproxy/internal/tracker"
+	"github.com/jacinthproxy/jacinthproxy/pkg/limiter"
 	"github.com/jacinthproxy/jacinthproxy/pkg/placer"
 )
 
@@ -86,7 +88,8 @@
 		Address: s.Peers, CallerAddress: s.Callers, Domain: s.Domain, Incarnation: placer.NewIncarnation(o.Clock.Now()),
 	}
 	r.relayer = relayer.New(relayer.Options{
-		Self: self, Capacity: s.Capacity(), LinkSpeed: s.Link, RateWindow: s.Bounds.RateWindow, DrainTimeout: s.Bounds.DrainTimeout, Tracker: r.tracker, Source: o.Source, InstanceStats: r.picker, Clock: o.Clock, Logger: o.Logger,
+		Self: self, Capacity: s.Capacity(), LinkSpeed: s.Link, RateWindow: s.Bounds.RateWindow, DrainTimeout: s.Bounds.DrainTimeout,
+		WarmupBound: limiter.WarmupBound{Overshoot: s.Bounds.WarmupOvershoot, Slack: s.Bounds.WarmupSlack}, Tracker: r.tracker, Source: o.Source, InstanceStats: r.picker, Clock: o.Clock, Logger: o.Logger,
 	})
 	r.picker.SetReporter(r.relayer)
 	r.messenger = messenger.New(messenger.Options{
@@ -279,4 +282,16 @@
 		zap.String("hedges", formatCounts(r.receiver.HedgeCounts())), zap.Duration("configurationAge", table),
 		zap.Duration("instancesAge", entries), zap.Int64("connectionsOpened", opened), zap.Int("connectionsKept", idle),
 		zap.Int64("attemptLinesOmitted", r.receiver.OmittedLines()), zap.Int64("startLinesOmitted", r.tracker.OmittedLines()))
+	for _, s := range r.picker.Summaries() {
+		r.logService(s)
+	}
+}
+
+// logService logs how full a service is and whom this VM refused of it.
+func (r *Runner) logService(s picker.Summary) {
+	number := func(name string, n float64) zap.Field { return zap.String(name, strconv.FormatFloat(n, 'f', 2, 64)) }
+	r.Logger.Info("service short of room or retries", zap.String("service", s.Service), number("use", s.Use),
+		number("refusedShare", s.RefusedShare), number("unservedShare", s.UnservedShare), zap.String("offered", s.Offered),
+		zap.String("letIn", s.LetIn), zap.String("noRoom", s.NoRoom), zap.String("noRetry", s.NoRetry), zap.String("accounts", s.Accounts),
+		number("retriesLeft", s.Retries))
 }
