Leave the retries that failed requests wait for to them

Cause: hedges took retries straight from the budget, also while failed requests waited for their turn, which the admission has brought.

Change: what they wait for does not count as left for a hedge.

Shown: TestHedgesComeAfterFailedRequestsThatWait fails without the change.

--- a/internal/picker/hedge.go
+++ b/internal/picker/hedge.go
@@ -52,7 +52,8 @@
 	defer p.mu.Unlock()
 	s, now := p.service(service), p.Clock.Now()
 	d = h.hedger.Decide(now, hedger.Hedge{
-		Service: service, Route: h.route(r), Left: left, Usage: h.slotUse(now, service, s), RetriesLeft: s.budget.Left(now),
+		Service: service, Route: h.route(r), Left: left, Usage: h.slotUse(now, service, s),
+		RetriesLeft: s.budget.Left(now) - float64(s.retries.Waiting()),
 	})
 	if d != hedger.DecisionSend {
 		return c, d, false
--- a/pkg/hedger/hedger.go
+++ b/pkg/hedger/hedger.go
@@ -124,7 +124,7 @@
 	// Left is the time until the request's deadline.
 	Left  time.Duration
 	Usage Usage
-	// RetriesLeft is what the VM's retry budget for the service has left.
+	// RetriesLeft is what the VM's retry budget for the service has left, without what failed requests wait for.
 	RetriesLeft float64
 }
 
