Ask for the limit of an instance in one way

Tracker.Limit was called by tests only; they ask SendLimit now, which has the stated limit among the rest, and assert the same.

--- a/internal/relayer/limits_test.go
+++ b/internal/relayer/limits_test.go
@@ -194,7 +194,7 @@
 	f.advance(50 * time.Millisecond)
 	f.advance(50 * time.Millisecond)
 	for i, tr := range f.trackers {
-		l, _, ok := tr.Limit("i")
+		l, ok := tr.SendLimit("i")
 		require.True(t, ok, i)
 		require.InDelta(t, 5, l.Rate, 0)
 	}
@@ -203,7 +203,7 @@
 	f.advance(50 * time.Millisecond)
 	f.advance(50 * time.Millisecond)
 	for i, tr := range f.trackers {
-		_, _, ok := tr.Limit("i")
+		_, ok := tr.SendLimit("i")
 		require.False(t, ok, i)
 	}
 }
--- a/internal/tracker/statements.go
+++ b/internal/tracker/statements.go
@@ -135,23 +135,7 @@
 	return true
 }
 
-// Limit returns the limit of an instance and the instance's failure domain, which is empty if unknown; ok is false if the
-// instance has no limit.
-func (t *Tracker) Limit(instance string) (s Statement, domain string, ok bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	r := t.records[instance]
-	if r != nil {
-		domain = r.Domain
-	}
-	known := t.statements[instance]
-	if known == nil || t.limitRate(instance) == 0 {
-		return Statement{}, domain, false
-	}
-	return known.Statement, domain, true
-}
-
-// limitRate returns the limit of an instance in requests per second, zero if it has none. An instance that started again
+// limitRate returns the limit that an instance stated in requests per second, zero if it stated none. An instance that started again
 // has stated nothing yet. t.mu must be held.
 func (t *Tracker) limitRate(instance string) float64 {
 	s, r := t.statements[instance], t.records[instance]
--- a/internal/tracker/statements_test.go
+++ b/internal/tracker/statements_test.go
@@ -14,7 +14,7 @@
 
 // limitOf returns the limit of instance i.
 func limitOf(tr *tracker.Tracker) float64 {
-	l, _, _ := tr.Limit("i")
+	l, _ := tr.SendLimit("i")
 	return l.Rate
 }
 
--- a/internal/tracker/warmups_test.go
+++ b/internal/tracker/warmups_test.go
@@ -112,3 +112,17 @@
 	report(none, c, 1, 1, 0)
 	require.False(t, none.PresumeWarmup("i"))
 }
+
+func TestChangedWarmupRateComesIntoForce(t *testing.T) {
+	tr, c := warming()
+	report(tr, c, 1, 2, 2*time.Second)
+	told := 0
+	tr.OnInstancesChange(func() { told++ })
+	for i, rate := range []float64{3, 0, 4} {
+		told = 0
+		tr.ApplyConfiguration(router.Configuration{Version: int64(2 + i), Services: []router.Service{{Name: "s", WarmupRate: rate}}})
+		tr.Expire()
+		require.Equal(t, 1, told)
+		require.InDelta(t, rate, rateOf(t, tr), 0)
+	}
+}
