--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -16,6 +16,7 @@
 	"github.com/jacinthproxy/jacinthproxy/internal/logger"
 	"github.com/jacinthproxy/jacinthproxy/internal/relayer"
 	"github.com/jacinthproxy/jacinthproxy/internal/router"
+	"github.com/jacinthproxy/jacinthproxy/pkg/admitter"
 	"github.com/jacinthproxy/jacinthproxy/pkg/balancer"
 )
 
@@ -34,14 +35,11 @@
 	attemptsBurst     = 200
 	// unreadBodyTimeout bounds the time that a connection stays open after a response before the body's end.
 	unreadBodyTimeout = time.Second
-	// hedgeFraction is the fraction of a route's latency objective after which an idempotent request is hedged.
-	hedgeFraction = 0.6
-	// maxIdleNonIdempotent is the longest idle time after which a kept connection may carry a request that is not
-	// idempotent. A connection idle for longer may have been dropped silently, which shows only once the request is
-	// sent.
-	maxIdleNonIdempotent = time.Second
-	// maxIdleIdempotent is the same limit for idempotent requests, which can be retried.
-	maxIdleIdempotent = 4 * time.Second
+	// maxIdle is the longest idle time after which a kept connection to an instance may carry a request.
+	maxIdle = 4 * time.Second
+	// overdueFraction is the fraction of a route's latency objective after which a request is overdue. Without
+	// a Hedger, it is hedged then.
+	overdueFraction = 0.6
 	// maxUnsent bounds the attempts of a request that fail before a byte is sent. A VM may have lost its network
 	// paths to a fifth of the instances; five such failures in a row are then rare.
 	maxUnsent = 5
@@ -126,6 +124,12 @@
 type Picker interface {
 	// CountRequest counts a caller's request for a service; the retry budget is proportional to these.
 	CountRequest(service string)
+	// CountOffered counts a caller's request of a level for a service at its arrival.
+	CountOffered(service string, level int)
+	// CountAdmitted counts a request by whether it may be sent to an instance.
+	CountAdmitted(service string, level int, admitted bool)
+	// CountEnded counts a request that ended by whether it was served.
+	CountEnded(service string, served bool)
 	// Pick chooses an instance and counts the request as in flight there until Done; false if there is none.
 	Pick(service string, r balancer.Request) (balancer.Choice, bool)
 	// Release ends a choice of Pick for which no request was sent. The instance is not picked again for the given time.
@@ -135,6 +139,13 @@
 	// NextAvailable returns the time until an instance of a service that is not available now may be picked for a request;
 	// ok is false if there is none.
 	NextAvailable(service string, r balancer.Request) (wait time.Duration, ok bool)
+	// AdmitRequest decides whether a request may be sent while its service is short of room. Account may be nil.
+	AdmitRequest(service string, level int, account *router.Account) admitter.Decision
+	// JoinRetries lets a request whose attempt failed wait for a retry until LeaveRetries; limit is when an answer is due.
+	JoinRetries(service string, r *router.Route, t admitter.Try, limit time.Time) *admitter.Ticket
+	LeaveRetries(service string, k *admitter.Ticket)
+	// RetryTurn returns what a waiting request does now; one that waits asks again after wait.
+	RetryTurn(service string, k *admitter.Ticket) (turn admitter.Turn, wait time.Duration)
 	// TakeRetry takes one retry from the budget of a service; false if the budget is exhausted.
 	TakeRetry(service string) bool
 	// Done records the outcome of a request at an instance and how long it took.
@@ -164,7 +175,9 @@
 	Limiter     Limiter
 	Picker      Picker
 	Sender      Sender
-	Observer    Observer
+	// Hedger limits hedges. If it is nil, a request is hedged once it is overdue, within the retry budget.
+	Hedger   Hedger
+	Observer Observer
 	// MaxKeyAge bounds the age of the configuration by which a key is accepted; up to keyAgeFraction of it is used.
 	MaxKeyAge time.Duration
 	// DrainTimeout is how long an instance that left may still get requests.
@@ -191,6 +204,7 @@
 	// attemptLog bounds the log lines of attempts.
 	attemptLog    *logger.Limiter
 	attemptCounts *attemptCounts
+	hedgeCounts   *hedgeCounts
 	// bodyBytes is the memory reserved for request bodies.
 	bodyBytes atomic.Int64
 }
@@ -200,7 +214,7 @@
 	return &Receiver{
 		Options: o, failedWaits: failedWaits{at: map[string]time.Time{}}, splits: splits{at: map[string]float64{}}, stop: newStop(),
 		answerLog: rate.NewLimiter(answersPerSecond, answersBurst), attemptLog: logger.NewLimiter(attemptsPerSecond, attemptsBurst),
-		attemptCounts: newAttemptCounts(),
+		attemptCounts: newAttemptCounts(), hedgeCounts: newHedgeCounts(),
 	}
 }
 
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"runtime/debug"
+	"strconv"
 	"sync"
 	"time"
 
@@ -44,6 +45,8 @@
 	HeaderNames receiver.HeaderNames
 	// NewHandler returns the handler of the platform's calls for addresses and readiness.
 	NewHandler func(Fleet) http.Handler
+	// HedgeShare limits hedges to a share of a service's requests, over all VMs. If it is nil, only the retry budget does.
+	HedgeShare *float64
 	Clock      clockwork.Clock
 	Logger     *zap.Logger
 }
@@ -51,8 +54,10 @@
 // Runner is a daemon.
 type Runner struct {
 	Options
-	tracker   *tracker.Tracker
-	picker    *picker.Picker
+	tracker *tracker.Tracker
+	picker  *picker.Picker
+	// hedges is nil unless hedges have a limit.
+	hedges    *picker.Hedges
 	relayer   *relayer.Relayer
 	messenger *messenger.Messenger
 	forwarder *forwarder.Forwarder
@@ -102,8 +107,13 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
+	var hedger receiver.Hedger
+	if r.HedgeShare != nil {
+		r.hedges = r.picker.EnableHedges(*r.HedgeShare)
+		hedger = r.hedges
+	}
 	r.receiver = receiver.New(receiver.Options{
-		HeaderNames: r.HeaderNames, Tracker: r.tracker, Admitter: r.relayer, Limiter: r.relayer, Picker: r.picker, Sender: r.forwarder, Observer: r.metrics,
+		HeaderNames: r.HeaderNames, Tracker: r.tracker, Admitter: r.relayer, Limiter: r.relayer, Picker: r.picker, Sender: r.forwarder, Hedger: hedger, Observer: r.metrics,
 		MaxKeyAge: s.Bounds.MaxKeyAge, DrainTimeout: s.Bounds.DrainTimeout, MaxBodyMemory: int64(bodyMemoryFraction * float64(s.Memory)), Started: r.Clock.Now(), Draining: r.draining, Clock: r.Clock, Logger: r.Logger,
 	})
 	r.frontend = newFrontend(callers, r.receiver, r.limits)
@@ -268,7 +278,20 @@
 func (r *Runner) logSummary() {
 	table, entries := r.tracker.Ages()
 	opened, idle := r.forwarder.Stats()
-	r.Logger.Info("summary", zap.String("requests", r.metrics.formatRequestCounts()), zap.Duration("configurationAge", table),
+	r.Logger.Info("summary", zap.String("requests", r.metrics.formatRequestCounts()),
+		zap.String("hedges", formatCounts(r.receiver.HedgeCounts())), zap.Duration("configurationAge", table),
 		zap.Duration("instancesAge", entries), zap.Int64("connectionsOpened", opened), zap.Int("connectionsKept", idle),
 		zap.Int64("attemptLinesOmitted", r.receiver.OmittedLines()), zap.Int64("startLinesOmitted", r.tracker.OmittedLines()))
+	for _, s := range r.picker.Summaries() {
+		r.logService(s)
+	}
+}
+
+// logService logs how full a service is and whom this VM refused of it.
+func (r *Runner) logService(s picker.Summary) {
+	number := func(name string, n float64) zap.Field { return zap.String(name, strconv.FormatFloat(n, 'f', 2, 64)) }
+	r.Logger.Info("service short of room or retries", zap.String("service", s.Service), number("use", s.Use),
+		number("refusedShare", s.RefusedShare), number("unservedShare", s.UnservedShare), zap.String("offered", s.Offered),
+		zap.String("letIn", s.LetIn), zap.String("noRoom", s.NoRoom), zap.String("noRetry", s.NoRetry), zap.String("accounts", s.Accounts),
+		number("retriesLeft", s.Retries))
 }
