--- a/cmd/soak/server.go
+++ b/cmd/soak/server.go
@@ -148,6 +148,7 @@
 		return emulator.LatePart(b, time.Duration(r.Int64N(int64(maxWorkTime))), func(n int) int { return int(part * float64(n)) })
 	}
 	copied := r.Float64() < s.copyShare
+	broken := s.brokenResponse(r, headPart)
 	switch x -= s.shedShare; {
 	case p.pauses:
 		p.respond = emulator.Pause(statedPause)
@@ -156,12 +157,8 @@
 		if copied && r.IntN(2) == 0 {
 			p.respond = late(p.respond)
 		}
-	case r.Float64() < s.endlessShare:
-		p.respond = emulator.Endless("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n\r\n", "x")
-	case r.Float64() < s.headCutShare:
-		p.respond = emulator.CutHead(func(n int) int { return int(headPart * float64(n)) })
-	case s.noStatusShare > 0 && r.Float64() < s.noStatusShare:
-		p.respond = emulator.WithStatus(invalidStatuses[r.IntN(len(invalidStatuses))])
+	case broken != nil:
+		p.respond = broken
 	case x < s.failShare:
 		p.respond = emulator.Fail
 	case x < s.failShare+s.hangShare:
@@ -178,6 +175,19 @@
 	return p
 }
 
+// brokenResponse returns a behavior that gives no whole response, or nil; headPart is the part of a head that ends early.
+func (s *server) brokenResponse(r *rand.Rand, headPart float64) emulator.Behavior {
+	switch {
+	case r.Float64() < s.endlessShare:
+		return emulator.Endless("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n\r\n", "x")
+	case r.Float64() < s.headCutShare:
+		return emulator.CutHead(func(n int) int { return int(headPart * float64(n)) })
+	case r.Float64() < s.noStatusShare:
+		return emulator.WithStatus(invalidStatuses[r.IntN(len(invalidStatuses))])
+	}
+	return nil
+}
+
 // awaitSlot waits until one of the slots is free, and takes it. It returns false if none is within the time limit.
 func awaitSlot(slots chan struct{}, limit time.Duration) bool {
 	if slots == nil {
