Count the time of a request sent ahead from its arrival

A connection notes when bytes arrive. Net/http reads one byte ahead while a request is served; a head that needed no read of its own came with earlier bytes. The receiver counts the deadline from there, and refuses with 503 (not run) what cannot be served in time. What waits in the kernel behind that byte, or behind further requests, is not seen: of several sent ahead, all but the next count from later.

--- a/internal/receiver/exchange.go
+++ b/internal/receiver/exchange.go
@@ -117,9 +117,14 @@
 			return x.deny(ReasonUnknownKey, http.StatusUnauthorized, "no client account has the key"), false
 		}
 	}
-	x.deadline = x.arrivedAt.Add(x.route.Timeout)
+	timeout := x.route.Timeout
 	if ms, err := strconv.ParseInt(x.req.Header.Get(x.HeaderNames.Deadline), 10, 64); err == nil && ms > 0 {
-		x.deadline = x.arrivedAt.Add(min(x.route.Timeout, time.Duration(ms)*time.Millisecond))
+		timeout = min(timeout, time.Duration(ms)*time.Millisecond)
+	}
+	x.deadline = Arrival(x.req.Context(), x.arrivedAt).Add(timeout)
+	if !x.deadline.After(x.arrivedAt) {
+		x.bodyUnread = true
+		return unavailable(ReasonNoInstance, "the time was up before the request could be served"), false
 	}
 	if res, ok = x.checkKeyAge(); !ok {
 		return res, false
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -336,6 +336,25 @@
 	}
 }
 
+// A caller waits from when it sent its request, not from when the one before on the connection was answered.
+func TestTimeOfARequestSentAheadCountsFromItsArrival(t *testing.T) {
+	for before, left := range map[time.Duration]string{0: "2000", 1500 * time.Millisecond: "500", 2 * time.Second: "", time.Minute: ""} {
+		f := newFixture()
+		req := httptest.NewRequest(http.MethodGet, "/once/", nil)
+		req.Host = "a"
+		req.Header = http.Header{"Id": {"r-1"}, "Deadline": {"2000"}, "Key": {"secret"}}
+		rec := httptest.NewRecorder()
+		f.receiver.ServeHTTP(rec, req.WithContext(receiver.WithArrival(req.Context(), f.clock.Now().Add(-before))))
+		if left == "" {
+			require.Equal(t, http.StatusServiceUnavailable, rec.Code)
+			require.Empty(t, f.sends)
+			continue
+		}
+		require.Equal(t, http.StatusOK, rec.Code)
+		require.Equal(t, left, f.sends[0].Header.Get("Deadline"))
+	}
+}
+
 func TestErrorResponseKeepsItsSignature(t *testing.T) {
 	f := newFixture()
 	f.respond = func(int) (forwarder.Response, error) {
--- a/internal/runner/connection.go
+++ b/internal/runner/connection.go
@@ -55,6 +55,9 @@
 	headBytes int
 	// rejected is set once a head was too long.
 	rejected bool
+	// receivedAt is when bytes were received last. AheadAt is when the first byte of the next request was received while one was
+	// served, and arrivedAt when that of the current request was, if its caller sent it ahead; zero if not.
+	receivedAt, aheadAt, arrivedAt time.Time
 	// ended is set once a stop has closed the connection while it was idle.
 	ended bool
 }
@@ -68,7 +71,9 @@
 func (c *callerConn) Read(p []byte) (int, error) {
 	for {
 		if !c.updateDeadline() {
-			return c.Conn.Read(p)
+			n, err := c.Conn.Read(p)
+			c.receivedWhileServing(n, len(p))
+			return n, err
 		}
 		if c.rejected {
 			return 0, headError() // net/http reads on after a part of a line.
@@ -110,10 +115,25 @@
 	return c.since.Add(c.limits().HeaderTimeout)
 }
 
+// receivedWhileServing notes the arrival of bytes of the body or of the next request. Net/http reads one byte ahead, with a
+// buffer of that size, once the body has ended.
+func (c *callerConn) receivedWhileServing(n, room int) {
+	if n <= 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.receivedAt = time.Now()
+	if room == 1 {
+		c.aheadAt = c.receivedAt
+	}
+}
+
 // receivedHead counts bytes of a head, and reports whether it is too long.
 func (c *callerConn) receivedHead(n int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.receivedAt = time.Now()
 	switch c.phase {
 	case phaseNew:
 		c.phase, c.headBytes = phaseReading, 0 // The first head is due some time after the connection was opened.
@@ -150,10 +170,15 @@
 func (c *callerConn) setPhase(p phase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase, c.since = p, time.Now()
 	if p == phaseServing {
+		c.arrivedAt = c.aheadAt
+		if c.aheadAt.IsZero() && c.phase == phaseIdle {
+			c.arrivedAt = c.receivedAt // The head came with earlier bytes.
+		}
+		c.aheadAt = time.Time{}
 		_ = c.SetReadDeadline(time.Time{}) // It fails only on a closed connection.
 	}
+	c.phase, c.since = p, time.Now()
 }
 
 // closeIdle closes the connection for good if it is idle. A request that was received and is not counted yet must not run.
@@ -166,11 +191,11 @@
 	}
 }
 
-// hasEnded reports whether a stop has closed the connection.
-func (c *callerConn) hasEnded() bool {
+// current returns when the current request arrived, if its caller sent it ahead, and whether a stop has closed the connection.
+func (c *callerConn) current() (arrivedAt time.Time, ended bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.ended
+	return c.arrivedAt, c.ended
 }
 
 func (c *callerConn) currentPhase() phase {
--- a/internal/runner/frontend.go
+++ b/internal/runner/frontend.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/jacinthproxy/jacinthproxy/internal/receiver"
 	"github.com/jacinthproxy/jacinthproxy/internal/router"
 )
 
@@ -34,7 +35,7 @@
 func newFrontend(l net.Listener, h http.Handler, limits func() router.Limits) *frontend {
 	f := &frontend{Listener: l, limits: limits, conns: map[*callerConn]struct{}{}, applied: limits()}
 	f.server = http.Server{ //nolint:gosec // The connections bound the time of a head.
-		Handler: skipEnded(h), ConnState: f.setState, ConnContext: withConn,
+		Handler: byConnection(h), ConnState: f.setState, ConnContext: withConn,
 		MaxHeaderBytes: math.MaxInt32, // The connections enforce the limits.
 		// net/http would log connections that callers abort; the receiver logs requests.
 		ErrorLog: log.New(io.Discard, "", 0),
@@ -71,11 +72,18 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
-// skipEnded drops requests whose connection a stop closed before they were counted: nobody would get their answers.
-func skipEnded(h http.Handler) http.Handler {
+// byConnection passes requests on with what their connections know of them. It drops those whose connection a stop closed before
+// they were counted: nobody would get their answers.
+func byConnection(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(connKey{}).(*callerConn); ok && c.hasEnded() {
-			panic(http.ErrAbortHandler)
+		if c, ok := r.Context().Value(connKey{}).(*callerConn); ok {
+			arrivedAt, ended := c.current()
+			if ended {
+				panic(http.ErrAbortHandler)
+			}
+			if !arrivedAt.IsZero() {
+				r = r.WithContext(receiver.WithArrival(r.Context(), arrivedAt))
+			}
 		}
 		h.ServeHTTP(w, r)
 	})
