Count what VMs granted alone before a VM owned their rate

An owner did not count what VMs had granted alone under the loans of the owner before it, or with none: its report had only its own grants, and the first count that a VM states was taken for old. Both sides of a cut lent all of the reserve, too.

Reports of former owners have what they know that VMs granted alone, a VM's question says how much of its count is of the last window, and an owner lends its share of the reserve.

--- a/internal/relayer/fallback.go
+++ b/internal/relayer/fallback.go
@@ -12,7 +12,7 @@
 func (s *rates) borrower(now time.Time, account string) *limiter.Borrower {
 	b := s.borrowers[account]
 	if b == nil {
-		b = limiter.NewBorrower(now)
+		b = limiter.NewBorrower(now, s.relayer.RateWindow)
 		s.borrowers[account] = b
 	}
 	return b
@@ -24,7 +24,7 @@
 	defer s.mu.Unlock()
 	now := s.relayer.Clock.Now()
 	q := s.borrower(now, account).Ask(now)
-	return &wire.Take{Account: account, Want: 1, Number: q.Number, Used: q.Used, Alone: q.Alone, WantAlone: uint32(q.Want)}
+	return &wire.Take{Account: account, Want: 1, Number: q.Number, Used: q.Used, Alone: q.Alone, RecentAlone: uint32(q.Recent), WantAlone: uint32(q.Want)}
 }
 
 // recordAnswer records what an account's owner answered to a message that was sent at askedAt.
--- a/internal/relayer/rates.go
+++ b/internal/relayer/rates.go
@@ -137,7 +137,7 @@
 		rep.NextMs = uint32(b.RetryAfter(now).Milliseconds() + 1)
 	}
 	if t.GetNumber() > 0 {
-		q := limiter.Question{Number: t.GetNumber(), Used: t.GetUsed(), Alone: t.GetAlone(), Want: limiter.Tokens(t.GetWantAlone())}
+		q := limiter.Question{Number: t.GetNumber(), Used: t.GetUsed(), Alone: t.GetAlone(), Recent: limiter.Tokens(t.GetRecentAlone()), Want: limiter.Tokens(t.GetWantAlone())}
 		rep.MaxAlone = b.Lend(now, from, q, loanShare*(l.Refill(s.relayer.RateWindow)+l.Burst)+loanTokens)
 	}
 	return rep, nil
--- a/pkg/limiter/borrower.go
+++ b/pkg/limiter/borrower.go
@@ -14,13 +14,17 @@
 	asked, used  uint64
 	alone, bound uint64
 	ends         time.Time
+	// recent counts those that were admitted so in the last window.
+	recent *WindowCounter
 	// level are the tokens that accrued since the owner did not answer first, as of failedAt; zero while it answers.
 	level    Tokens
 	failedAt time.Time
 }
 
-// NewBorrower returns a Borrower without a loan.
-func NewBorrower(now time.Time) *Borrower { return &Borrower{spanStart: now} }
+// NewBorrower returns a Borrower without a loan, of a rate that is limited in windows of the given length.
+func NewBorrower(now time.Time, window time.Duration) *Borrower {
+	return &Borrower{spanStart: now, recent: NewWindowCounter(now, window)}
+}
 
 // advance begins a new span if the last one is over.
 func (b *Borrower) advance(now time.Time) {
@@ -36,7 +40,7 @@
 func (b *Borrower) Ask(now time.Time) Question {
 	b.advance(now)
 	b.asked++
-	return Question{Number: b.asked, Used: b.used, Alone: b.alone, Want: max(1, b.granted, b.grantedBefore)}
+	return Question{Number: b.asked, Used: b.used, Alone: b.alone, Recent: b.recent.Sum(now), Want: max(1, b.granted, b.grantedBefore)}
 }
 
 // Answered records the owner's answer to a question that was asked at askedAt: tokens that it granted, and what Lend returned.
@@ -61,12 +65,12 @@
 	}
 	b.failedAt = now
 	if b.alone < b.bound && now.Before(b.ends) {
-		b.alone++
+		b.admit(now)
 		return true, 0
 	}
 	if b.level >= 1-epsilon {
 		b.level--
-		b.alone++
+		b.admit(now)
 		return true, 0
 	}
 	if rate <= 0 {
@@ -74,3 +78,8 @@
 	}
 	return false, time.Duration(float64(1-b.level) / rate * float64(time.Second))
 }
+
+func (b *Borrower) admit(now time.Time) {
+	b.alone++
+	b.recent.Add(now, 1)
+}
--- a/pkg/limiter/lender.go
+++ b/pkg/limiter/lender.go
@@ -23,9 +23,10 @@
 	// Number orders the questions of one VM on one account. Used is the number of the question whose answer the VM goes by: it
 	// will not go by answers to earlier ones.
 	Number, Used uint64
-	// Alone is how many tokens the VM granted without an owner since it started, and Want how many more it would like to grant.
-	Alone uint64
-	Want  Tokens
+	// Alone is how many tokens the VM granted without an owner since it started, Recent how many of them in the last window, and
+	// Want how many more it would like to grant.
+	Alone        uint64
+	Recent, Want Tokens
 }
 
 // lender accounts for the tokens that other VMs may grant while the owner does not answer. A loan is a bound on the tokens that
@@ -47,6 +48,8 @@
 	// alone is how many tokens the VM reported that it granted alone.
 	alone uint64
 	loans []loan
+	// reportedAt is when the VM reported tokens last.
+	reportedAt time.Time
 }
 
 type loan struct {
@@ -82,7 +85,7 @@
 	since := now.Add(-l.window)
 	for vm, b := range l.borrowers {
 		b.loans = slices.DeleteFunc(b.loans, func(o loan) bool { return o.ends.Before(since) })
-		if len(b.loans) == 0 {
+		if len(b.loans) == 0 && b.reportedAt.Before(since) {
 			delete(l.borrowers, vm)
 			continue
 		}
@@ -95,12 +98,15 @@
 	l.sweep(now)
 	b := l.borrowers[vm]
 	if b == nil {
-		return 0
+		if q.Recent > 0 { // Another owner lent it tokens, or none was there.
+			l.borrowers[vm] = &borrowed{alone: q.Alone, reportedAt: now}
+		}
+		return q.Recent
 	}
 	before, reported := b.unreported(), Tokens(0)
 	if q.Alone > b.alone {
 		reported = Tokens(q.Alone - b.alone)
-		b.alone = q.Alone
+		b.alone, b.reportedAt = q.Alone, now
 	}
 	b.loans = slices.DeleteFunc(b.loans, func(o loan) bool { return o.number < q.Used })
 	l.lent += b.unreported() - before
@@ -135,12 +141,12 @@
 func (w *WindowLimiter) StartLending() { w.lender.since = time.Time{} }
 
 // Lend lets another VM grant some tokens alone while this limiter does not answer. It returns the bound on Question.Alone, zero if
-// the VM may grant none. Up to reserve are lent beyond the limit, which the caller must tolerate. What is lent beyond the reserve
-// is taken off what Take grants, until it is returned or has ended.
+// the VM may grant none. Up to this limiter's share of reserve is lent beyond the limit, which the caller must tolerate. What is lent
+// beyond that is taken off what Take grants, until it is returned or has ended.
 func (w *WindowLimiter) Lend(now time.Time, to placer.VM, q Question, reserve Tokens) uint64 {
 	w.alone.Add(now, w.lender.settle(now, to, q))
-	w.lender.reserve = reserve
-	left := w.maxPerWindow() - w.known(now)
-	most := reserve + min(left, lentShare*left)
+	w.lender.reserve = Tokens(w.share) * reserve
+	left := Tokens(w.share)*w.maxPerWindow() - w.known(now)
+	most := w.lender.reserve + min(left, lentShare*left)
 	return w.lender.lend(now, to, q, most*w.lender.part(now))
 }
--- a/pkg/limiter/lender_test.go
+++ b/pkg/limiter/lender_test.go
@@ -130,7 +130,7 @@
 	p.events = map[time.Duration][]func(){}
 	p.suspectUntil = make([]time.Duration, p.vms)
 	for range p.vms {
-		p.borrowers = append(p.borrowers, limiter.NewBorrower(p.now()))
+		p.borrowers = append(p.borrowers, limiter.NewBorrower(p.now(), window))
 	}
 	due := 0.0
 	for ; p.at < pausedAt+p.length+7*time.Second; p.at += modelStep {
@@ -250,6 +250,44 @@
 	require.Equal(t, 3, lend(2, limiter.Question{Number: 3, Want: 9}))
 }
 
+// The next owner must learn from the one before what VMs granted alone.
+func TestReportOfAnOwnerHasWhatVMsGrantedAlone(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	w := limiter.NewWindowLimiter(now, window, limiter.Limit{Rate: 20, Burst: 20}, 20)
+	now = now.Add(10 * time.Second)
+	require.EqualValues(t, 9, w.Lend(now, vmID(1), limiter.Question{Number: 1, Want: 9}, 9))
+	require.False(t, w.HasGranted(now))
+	w.Lend(now, vmID(1), limiter.Question{Number: 2, Used: 1, Alone: 7, Want: 9}, 9)
+	require.True(t, w.HasGranted(now))
+	counts, _ := w.Granted(now)
+	require.EqualValues(t, 7, counts[0])
+}
+
+// An owner must count what VMs granted alone before it owned the rate, once.
+func TestOwnerCountsWhatVMsGrantedAloneBefore(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	w := limiter.NewWindowLimiter(now, window, limiter.Limit{Rate: 20, Burst: 20}, 20)
+	now = now.Add(10 * time.Second)
+	for n := range 3 {
+		w.Lend(now, vmID(1), limiter.Question{Number: uint64(n + 1), Alone: 20, Recent: 7, Want: 9}, 0)
+	}
+	w.Lend(now, vmID(1), limiter.Question{Number: 4, Alone: 22, Recent: 9, Want: 9}, 0)
+	counts, _ := w.Granted(now)
+	require.EqualValues(t, 9, counts[0])
+}
+
+// Both sides of a cut together must lend no more than one owner of the whole fleet.
+func TestOwnerThatReachesAPartOfTheFleetLendsItsPart(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	lent := uint64(0)
+	for _, share := range []float64{0.25, 0.75} {
+		w := limiter.NewWindowLimiter(now, window, limiter.Limit{Rate: 16, Burst: 16}, 16)
+		w.SetShare(now, share)
+		lent += w.Lend(now.Add(10*time.Second), vmID(1), limiter.Question{Number: 1, Want: 999}, 40)
+	}
+	require.EqualValues(t, 40+96/4, lent)
+}
+
 // What a VM granted alone must count for a window, whether it reports it or not.
 func TestUsedLoansCountForAWindow(t *testing.T) {
 	for _, reported := range []bool{false, true} {
--- a/pkg/limiter/window.go
+++ b/pkg/limiter/window.go
@@ -62,14 +62,20 @@
 	w.share, w.sharedAt = share, now
 }
 
-// Granted returns the tokens that this limiter granted in the window that ends at now, one count for each slot, the latest first,
-// and the length of a slot.
+// Granted returns the tokens that this limiter granted in the window that ends at now, and those that VMs told it that they granted
+// alone: one count for each slot, the latest first, and the length of a slot.
 func (w *WindowLimiter) Granted(now time.Time) ([]Tokens, time.Duration) {
-	return w.own.Slots(now), w.own.SlotLength()
+	counts := w.own.Slots(now)
+	for i, n := range w.alone.Slots(now) {
+		counts[i] += n
+	}
+	return counts, w.own.SlotLength()
 }
 
-// HasGranted reports whether this limiter granted a token in the window that ends at now.
-func (w *WindowLimiter) HasGranted(now time.Time) bool { return w.own.Sum(now) > epsilon }
+// HasGranted reports whether Granted would return a token.
+func (w *WindowLimiter) HasGranted(now time.Time) bool {
+	return w.own.Sum(now)+w.alone.Sum(now) > epsilon
+}
 
 // Report replaces what the limiter of another VM reported that it granted: one count for each slot of the given length, the
 // latest first. SetShare assumes when the others granted their tokens; what they report can only lower what is left.
