Tell a VM that follows another leader who is not down

The VMs of one failure domain took the other owner for down from 62 s to 67 s or 79 s, while it was ready for all others since 62.8 s.

They had heard of it from an interim leader. The leader that returned never took that VM for down, so that its refutation changed nothing there and was not passed on; it came when the leader changed the next time.

A VM that begins to follow a leader tells it whom it takes for down. The leader takes that in, or marks what it knows better as changed, which passes it on. TestVMThatFollowsAnotherLeaderLearnsWhoIsNotDown failed without that.

--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -32,6 +32,9 @@
 		Incarnation: k.incarnation, Sequence: k.sequence, WaitMs: uint32(wait.Milliseconds()),
 		Role: uint32(r.role), Capacity: r.Capacity, Leader: leader, FetchesConfiguration: true,
 	}
+	if !leader && r.followed != to.Address {
+		m.Down = toMembers(r.Clock.Now(), r.Tracker.DownMembers())
+	}
 	var sent outbox
 	if !leader {
 		sent, r.outgoing = r.outgoing, outbox{}
@@ -63,7 +66,7 @@
 	r.applyBeliefs(to, leader, began, k, b)
 	if !leader {
 		r.mu.Lock()
-		r.leadsInsteadSince = time.Time{}
+		r.leadsInsteadSince, r.followed = time.Time{}, to.Address
 		r.mu.Unlock()
 	}
 	if !leader && b.GetConfigurationKnown() && b.GetInstancesKnown() {
@@ -224,6 +227,11 @@
 	if changed {
 		r.clearSuspicion(from.Address)
 	}
+	for _, d := range m.GetDown() {
+		if vm, err := messenger.FromVM(d.GetVm()); err == nil && vm.Address != r.Self.Address {
+			r.Tracker.CheckDown(tracker.Member{VM: vm, Role: tracker.RoleDown, AsOf: began.Add(-time.Duration(d.GetAgeMs()) * time.Millisecond)})
+		}
+	}
 	r.mu.Lock()
 	b := r.outboxes[from.Address]
 	if b == nil {
@@ -350,15 +358,19 @@
 	for _, e := range c.Entries {
 		rep.Registrations = append(rep.Registrations, toRegistration(now, e))
 	}
-	for _, m := range c.Members {
-		rep.Members = append(rep.Members, &wire.Member{
-			Vm: messenger.ToVM(m.VM), Role: uint32(m.Role), Capacity: m.Capacity, AgeMs: ageMs(now, m.AsOf),
-		})
-	}
+	rep.Members = toMembers(now, c.Members)
 	rep.Statements = toStatements(now, c.Statements)
 	return rep
 }
 
+func toMembers(now time.Time, ms []tracker.Member) []*wire.Member {
+	var out []*wire.Member
+	for _, m := range ms {
+		out = append(out, &wire.Member{Vm: messenger.ToVM(m.VM), Role: uint32(m.Role), Capacity: m.Capacity, AgeMs: ageMs(now, m.AsOf)})
+	}
+	return out
+}
+
 // ageMs returns the age of a time in milliseconds, rounded up so that the receiver never takes it for younger than it
 // is.
 func ageMs(now, at time.Time) uint32 {
--- a/internal/relayer/loops.go
+++ b/internal/relayer/loops.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -117,7 +118,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if leads && r.leadsInsteadSince.IsZero() {
-		r.leadsInsteadSince = r.Clock.Now()
+		r.leadsInsteadSince, r.followed = r.Clock.Now(), netip.AddrPort{}
 	}
 	if leads == !r.leaderSince.IsZero() {
 		return
--- a/internal/relayer/owner_test.go
+++ b/internal/relayer/owner_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/jacinthproxy/jacinthproxy/internal/relayer"
 	"github.com/jacinthproxy/jacinthproxy/internal/tracker"
 )
 
@@ -101,3 +102,35 @@
 	})
 	require.LessOrEqual(t, float64(most), allowed)
 }
+
+// A VM that heard from an interim leader that another is down must learn from the leader that returns that it is not; VMs that
+// disagree on that have two owners of a rate.
+func TestVMThatFollowsAnotherLeaderLearnsWhoIsNotDown(t *testing.T) {
+	for _, later := range []bool{false, true} {
+		f := newFleet(6, 40)
+		for range 3 {
+			f.advance(100 * time.Millisecond)
+		}
+		leader := slices.IndexFunc(f.relayers, (*relayer.Relayer).IsLeader)
+		follower, wrong := (leader+1)%6, (leader+2)%6
+		f.cut = func(from, to netip.AddrPort) bool {
+			return from == f.members[follower].Address && to == f.members[leader].Address
+		}
+		f.relayers[follower].Refresh(context.Background())
+		f.relayers[follower].Refresh(context.Background()) // Follows another one.
+		down := f.members[wrong]
+		down.Role, down.AsOf = tracker.RoleDown, f.clock.Now()
+		if later {
+			down.AsOf = down.AsOf.Add(time.Second)
+		}
+		f.trackers[follower].UpdateMember(down)
+		f.cut = nil
+		f.clock.Advance(1500 * time.Millisecond)
+		for range 5 {
+			f.advance(100 * time.Millisecond)
+		}
+		require.False(t, slices.ContainsFunc(f.trackers[follower].Members(), func(m tracker.Member) bool {
+			return m.Address == down.Address && m.Role == tracker.RoleDown
+		}), "later %v", later)
+	}
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -72,6 +72,8 @@
 	leaderSince time.Time
 	// leadsInsteadSince is when this VM led first since it last heard from another leader; zero if it has not led since.
 	leadsInsteadSince time.Time
+	// followed is the leader of its domain that this VM exchanged with last; invalid once it led itself.
+	followed netip.AddrPort
 	// outgoing collects this VM's observations for its leader.
 	outgoing outbox
 	// outboxes collect the observations of this and other VMs for the peers that exchange with this one.
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -230,6 +230,30 @@
 	return changed
 }
 
+// DownMembers returns the VMs that this one takes for down.
+func (t *Tracker) DownMembers() []Member {
+	var down []Member
+	for _, m := range t.Members() {
+		if m.Role == RoleDown {
+			down = append(down, m)
+		}
+	}
+	return down
+}
+
+// CheckDown takes in that a peer takes a VM for down. If this VM knows better, it passes that on again: it did not change here, so that
+// peers that heard otherwise from another VM would never learn of it.
+func (t *Tracker) CheckDown(m Member) {
+	if t.UpdateMember(m) {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if o := t.members[m.Address]; o != nil && o.Role != RoleDown {
+		t.markMember(o)
+	}
+}
+
 // logMember logs that a VM was added, or that its role or incarnation changed. t.mu must be held.
 func (t *Tracker) logMember(m, previous Member, added bool) {
 	if added && !t.membersKnown {
