--- a/cmd/soak/server.go
+++ b/cmd/soak/server.go
@@ -157,6 +157,7 @@
 		return emulator.LatePart(b, time.Duration(r.Int64N(int64(maxWorkTime))), func(n int) int { return int(part * float64(n)) })
 	}
 	copied := r.Float64() < s.copyShare
+	broken := s.brokenResponse(r, headPart)
 	switch x -= s.shedShare; {
 	case pauses:
 		return emulator.Pause(statedPause)
@@ -166,12 +167,8 @@
 			return late(refusal)
 		}
 		return refusal
-	case r.Float64() < s.endlessShare:
-		return emulator.Endless("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n\r\n", "x")
-	case r.Float64() < s.headCutShare:
-		return emulator.CutHead(func(n int) int { return int(headPart * float64(n)) })
-	case s.noStatusShare > 0 && r.Float64() < s.noStatusShare:
-		return emulator.WithStatus(invalidStatuses[r.IntN(len(invalidStatuses))])
+	case broken != nil:
+		return broken
 	case x < s.failShare:
 		return emulator.Fail
 	case x < s.failShare+s.hangShare:
@@ -186,6 +183,19 @@
 	return emulator.Answer
 }
 
+// brokenResponse returns a behavior that gives no whole response, or nil; headPart is the part of a head that ends early.
+func (s *server) brokenResponse(r *rand.Rand, headPart float64) emulator.Behavior {
+	switch {
+	case r.Float64() < s.endlessShare:
+		return emulator.Endless("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n\r\n", "x")
+	case r.Float64() < s.headCutShare:
+		return emulator.CutHead(func(n int) int { return int(headPart * float64(n)) })
+	case r.Float64() < s.noStatusShare:
+		return emulator.WithStatus(invalidStatuses[r.IntN(len(invalidStatuses))])
+	}
+	return nil
+}
+
 // awaitSlot waits until one of the slots is free, and takes it. It returns false if none is within the time limit.
 func awaitSlot(slots chan struct{}, limit time.Duration) bool {
 	if slots == nil {
