--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -26,31 +26,7 @@
 func (r *Relayer) exchange(ctx context.Context, to placer.VM, wait time.Duration, leader bool) error {
 	ctx, cancel := context.WithTimeout(ctx, wait+exchangeMargin)
 	defer cancel()
-	r.mu.Lock()
-	k := r.cursors[to.Address]
-	m := &wire.Exchange{
-		Incarnation: k.incarnation, Sequence: k.sequence, WaitMs: uint32(wait.Milliseconds()),
-		Role: uint32(r.role), Capacity: r.Capacity, Leader: leader, FetchesConfiguration: true,
-	}
-	if !leader && r.followed != to.Address {
-		m.Down = toMembers(r.Clock.Now(), r.Tracker.DownMembers())
-	}
-	var sent outbox
-	if !leader {
-		sent, r.outgoing = r.outgoing, outbox{}
-		m.Seen = sent.message()
-	}
-	statementsSequence := k.statementsSequence
-	if !leader {
-		observed, n := r.Tracker.ObservedStatements(k.statementsSequence)
-		statementsSequence, m.Statements = n, toStatements(r.Clock.Now(), observed)
-	}
-	began := r.Clock.Now()
-	m.LoadsKnown = !leader && began.Sub(k.loadsSentAt) >= fullReportInterval
-	r.mu.Unlock()
-	if m.LoadsKnown {
-		m.Loads = encodeLoads(r.InstanceStats.InFlight())
-	}
+	m, k, began := r.newExchange(to, wait, leader)
 	sentUsage := r.addUsage(m, k.usageSentAt)
 	b, err := r.sendExchange(ctx, to.Address, m)
 	if err != nil {
@@ -64,9 +40,8 @@
 		k.loadsSentAt = began
 	}
 	if k.incarnation != 0 && k.incarnation != b.GetIncarnation() {
-		statementsSequence = 0 // The peer started again and has only the latest changes.
+		k.statementsSequence = 0 // The peer started again and has only the latest changes.
 	}
-	k.statementsSequence = statementsSequence
 	r.applyBeliefs(to, leader, began, k, b)
 	if !leader {
 		r.mu.Lock()
@@ -82,6 +57,32 @@
 	return nil
 }
 
+// newExchange returns an exchange with a peer, the cursor that holds once the peer has answered it, and when it began.
+func (r *Relayer) newExchange(to placer.VM, wait time.Duration, leader bool) (m *wire.Exchange, k cursor, began time.Time) {
+	r.mu.Lock()
+	k = r.cursors[to.Address]
+	m = &wire.Exchange{
+		Incarnation: k.incarnation, Sequence: k.sequence, WaitMs: uint32(wait.Milliseconds()),
+		Role: uint32(r.role), Capacity: r.Capacity, Leader: leader, FetchesConfiguration: true,
+	}
+	began = r.Clock.Now()
+	if !leader {
+		if r.followed != to.Address {
+			m.Down = toMembers(began, r.Tracker.DownMembers())
+		}
+		m.Seen = r.outgoing.message()
+		r.outgoing = outbox{}
+		observed, n := r.Tracker.ObservedStatements(k.statementsSequence)
+		k.statementsSequence, m.Statements = n, toStatements(began, observed)
+		m.LoadsKnown = began.Sub(k.loadsSentAt) >= fullReportInterval
+	}
+	r.mu.Unlock()
+	if m.LoadsKnown {
+		m.Loads = encodeLoads(r.InstanceStats.InFlight())
+	}
+	return m, k, began
+}
+
 // sendExchange calls a peer. It returns when the context ends, even if opening the connection blocks.
 func (r *Relayer) sendExchange(ctx context.Context, to netip.AddrPort, m *wire.Exchange) (*wire.Beliefs, error) {
 	rep, err := r.call(ctx, to, &wire.Request{Body: &wire.Request_Exchange{Exchange: m}})
