Let an owner that was alone for a window begin with all of a rate

Cause: an owner whose bucket is new began with 0.1 s of the rate and 3 requests, as another owner might have granted the rest in the window before.

Change: an owner that reached the whole fleet, of the same VMs, for a window and the time until a silent VM is marked down knows that nobody granted or lent any of the rate, and begins with a whole window. Restarts, cuts and pauses begin that time anew.

TestFirstRequestsGetWhatTheLimitOfAWindowAllows fails without the change; the properties of rates under faults hold.

--- a/internal/relayer/owner_test.go
+++ b/internal/relayer/owner_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/jacinthproxy/jacinthproxy/internal/tracker"
+	"github.com/jacinthproxy/jacinthproxy/pkg/placer"
 )
 
 // roleChange sets the role of the owner at the other VMs; a cut owner also loses contact with them.
@@ -101,3 +102,55 @@
 	})
 	require.LessOrEqual(t, float64(most), allowed)
 }
+
+// steadyFleet returns a fleet whose VMs have been the same for longer than a window of the rates, with no request so far.
+func steadyFleet(n int, limit float64) *fleet {
+	f := newFleet(n, limit)
+	for range 70 {
+		f.advance(100 * time.Millisecond)
+	}
+	return f
+}
+
+// admitAtOnce sends requests to all VMs in turn and returns how many are admitted.
+func (f *fleet) admitAtOnce(requests int) (admitted int) {
+	for i := range requests {
+		if f.admit(i % len(f.relayers)) {
+			admitted++
+		}
+	}
+	return admitted
+}
+
+// The first requests of an account must not be refused for want of an owner that knows what was granted.
+func TestFirstRequestsGetWhatTheLimitOfAWindowAllows(t *testing.T) {
+	f := steadyFleet(20, 40)
+	require.Equal(t, 40, f.admitAtOnce(100), "the burst")
+	admitted := 40
+	for range 50 {
+		f.advance(100 * time.Millisecond)
+		admitted += f.admitAtOnce(20)
+	}
+	require.InDelta(t, 5*40+40, admitted, 5)
+}
+
+// Another VM may have owned the rate.
+func TestFirstRequestsGetLittleAfterAChangeOfVMs(t *testing.T) {
+	for name, change := range map[string]func(f *fleet){
+		"restart": func(f *fleet) {
+			m := f.members[0]
+			m.Incarnation = placer.NewIncarnation(f.clock.Now())
+			for _, tr := range f.trackers {
+				tr.UpdateMember(m)
+			}
+		},
+		"pause": func(f *fleet) { f.clock.Advance(2 * time.Second) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := steadyFleet(20, 40)
+			change(f)
+			f.advance(100 * time.Millisecond)
+			require.Less(t, f.admitAtOnce(300), 40)
+		})
+	}
+}
--- a/internal/relayer/rates.go
+++ b/internal/relayer/rates.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,8 +24,12 @@
 	relayer *Relayer
 	mu      sync.Mutex
 	buckets map[string]*rateBucket
-	// placedAt is when place was called last.
+	// placedAt is when place was called last, and placed its placement.
 	placedAt time.Time
+	placed   *placement
+	// sharers are the VMs among which rates are placed. Since steadySince they are the same, and this VM reaches all of them.
+	sharers     []placer.VM
+	steadySince time.Time
 	// borrowers admit requests of accounts while their owners do not answer.
 	borrowers map[string]*limiter.Borrower
 }
@@ -164,14 +169,9 @@
 	r := s.relayer
 	b := s.buckets[account]
 	if b == nil {
-		initial, cold := initialSeconds, r.coldStart()
-		if cold {
-			initial = coldStartSeconds
-		}
-		b = &rateBucket{
-			WindowLimiter: limiter.NewWindowLimiter(now, r.RateWindow, l, limiter.Tokens(initialTokens+initial*l.Rate)), ownedAt: now,
-		}
-		if cold {
+		initial, begins := s.initialTokens(now, l)
+		b = &rateBucket{WindowLimiter: limiter.NewWindowLimiter(now, r.RateWindow, l, initial), ownedAt: now}
+		if begins {
 			b.StartLending()
 		}
 		s.buckets[account] = b
@@ -181,6 +181,36 @@
 	return b
 }
 
+// initialTokens returns the tokens that this VM may grant at once of a rate of which it granted none so far, and whether no other
+// VM can have granted or lent any of it just before. s.mu must be held.
+func (s *rates) initialTokens(now time.Time, l limiter.Limit) (initial limiter.Tokens, begins bool) {
+	r := s.relayer
+	switch {
+	case !s.steadySince.IsZero() && now.Sub(s.steadySince) >= r.RateWindow+downAfter:
+		// Another owner would have been among the same VMs, and would have been this one.
+		return l.Refill(r.RateWindow) + l.Burst, true
+	case r.coldStart():
+		return limiter.Tokens(initialTokens + coldStartSeconds*l.Rate), true
+	}
+	return limiter.Tokens(initialTokens + initialSeconds*l.Rate), false
+}
+
+// noteSharers records since when rates are placed among the same VMs, all of which this one reaches. s.mu must be held.
+func (s *rates) noteSharers(now time.Time, p *placement, steady bool) {
+	if p != s.placed {
+		s.placed = p
+		var vms []placer.VM
+		for _, c := range p.candidates("") {
+			vms = append(vms, c.VM)
+		}
+		steady = steady && slices.EqualFunc(vms, s.sharers, placer.VM.Same)
+		s.sharers = vms
+	}
+	if !steady || s.steadySince.IsZero() {
+		s.steadySince = now
+	}
+}
+
 // place sets this VM's share of each rate: the part of the fleet that it reaches while it owns the rate, else none. When it
 // becomes the owner again, it must not go on with what it knew, as another owner granted tokens meanwhile. Nor may it start anew:
 // the role can change several times in a second.
@@ -190,6 +220,7 @@
 	defer s.mu.Unlock()
 	now := s.relayer.Clock.Now()
 	suspended := !s.placedAt.IsZero() && now.Sub(s.placedAt) > downAfter
+	s.noteSharers(now, p, share >= 1 && !suspended)
 	for a, b := range s.buckets {
 		if suspended {
 			b.SetShare(s.placedAt, 0) // The others may have marked this VM down.
