--- a/pkg/balancer/cost.go
+++ b/pkg/balancer/cost.go
@@ -33,21 +33,46 @@
 	maxRelativeLatency = 12.0
 )
 
-// cost returns the expected wait of a request at an instance, in service times.
+// Cost has the parts of the expected wait of a request at an instance, in service times.
+type Cost struct {
+	// Wait is that for a slot and for the answer, at the speed that the instance had lately.
+	Wait float64 `json:"wait"`
+	// Crossing is the cost of sending to another failure domain.
+	Crossing float64 `json:"crossing"`
+	Warmup   float64 `json:"warmup"`
+	// Full is that of an instance that refused a request just now.
+	Full float64 `json:"full"`
+	// Failure is that of a request that may fail, by the probability that the instance is unhealthy.
+	Failure float64 `json:"failure"`
+}
+
+// total returns the sum of the parts and a jitter.
+func (c Cost) total(jitter float64) float64 {
+	return c.Wait + c.Crossing + c.Warmup + c.Full + jitter + c.Failure
+}
+
+// cost returns the expected wait of a request at an instance, in service times, with a random jitter.
 func (b *Balancer) cost(now time.Time, s *state) float64 {
+	return b.costParts(now, s).total(costJitter * b.random.Float64())
+}
+
+func (b *Balancer) costParts(now time.Time, s *state) Cost {
 	slots := float64(max(1, s.Slots))
 	l := float64(s.load(now))
-	c := s.relativeLatency * (1 + 0.3*l/slots + max(0, l+1-slots)/slots)
+	c := Cost{
+		Wait:    s.relativeLatency * (1 + 0.3*l/slots + max(0, l+1-slots)/slots),
+		Failure: failureCost * breakShare * b.unhealthy(s),
+	}
 	if s.Domain != b.domain {
-		c += b.crossingCost
+		c.Crossing = b.crossingCost
 	}
 	if now.Before(s.WarmAt) {
-		c += warmupCost
+		c.Warmup = warmupCost
 	}
 	if now.Before(s.fullUntil) {
-		c += fullCost
+		c.Full = fullCost
 	}
-	return c + costJitter*b.random.Float64() + failureCost*breakShare*b.unhealthy(s)
+	return c
 }
 
 // load returns the known number of requests in flight at the instance.
--- a/pkg/balancer/reuse.go
+++ b/pkg/balancer/reuse.go
@@ -39,7 +39,7 @@
 		if now.Sub(s.answeredAt) > reuseWindow || samples == reuseSamples {
 			break
 		}
-		if s.inFlight > 0 || s.suspect || b.instances[s.ID] != s || !b.available(now, s, r) || slices.Contains(r.Tried, s.ID) {
+		if !b.isReusable(now, s, r) {
 			continue
 		}
 		samples++
@@ -49,3 +49,8 @@
 	}
 	return best, lowest
 }
+
+// isReusable reports whether an instance that answered this process within reuseWindow may be preferred for a request.
+func (b *Balancer) isReusable(now time.Time, s *state, r Request) bool {
+	return s.inFlight == 0 && !s.suspect && b.instances[s.ID] == s && b.available(now, s, r) && !slices.Contains(r.Tried, s.ID)
+}
