Explain admission, rates and choices from copies of their state

admitter.Chance, relayer.ExplainRate and picker.Explain say what would be decided by the functions that decide, on copies: no token, count, bucket or random number of a request is used. The rate of another owner is not guessed and not asked for.

--- a/internal/picker/budget.go
+++ b/internal/picker/budget.go
@@ -85,6 +85,13 @@
 	return b.ratio*float64(b.requests.Sum(now)) + b.slack
 }
 
+// clone returns a copy that shares nothing with the budget.
+func (b *Budget) clone() *Budget {
+	c, kept, fleetKept := *b, *b.kept, *b.fleetKept
+	c.requests, c.kept, c.fleetKept = b.requests.Clone(), &kept, &fleetKept
+	return &c
+}
+
 // update adds what was earned with time, and drops what is not kept.
 func (b *Budget) update(now time.Time) {
 	if d := now.Sub(b.updatedAt); d > 0 {
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -139,9 +139,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s, now := p.service(name), p.Clock.Now()
+	return s.balancer.Pick(now, p.withBudget(name, r, s.budget.Left(now)))
+}
+
+// withBudget returns a request for a service with what this VM knows of the service's failures and retries.
+func (p *Picker) withBudget(name string, r balancer.Request, left float64) balancer.Request {
 	r.UnservedShare = p.FleetUsage(name).Sum.UnservedShare()
-	r.LowRetryBudget = r.LowRetryBudget || s.budget.Left(now) < trialReserve
-	return s.balancer.Pick(now, r)
+	r.LowRetryBudget = r.LowRetryBudget || left < trialReserve
+	return r
 }
 
 // Release ends a choice of Pick for which no request was sent. The instance is not picked again for the given time.
--- a/internal/picker/room.go
+++ b/internal/picker/room.go
@@ -5,6 +5,8 @@
 
 	"github.com/jacinthproxy/jacinthproxy/internal/router"
 	"github.com/jacinthproxy/jacinthproxy/pkg/admitter"
+	"github.com/jacinthproxy/jacinthproxy/pkg/aggregator"
+	"github.com/jacinthproxy/jacinthproxy/pkg/balancer"
 )
 
 // room decides which requests get the room of the services. Picker.mu guards it.
@@ -34,19 +36,14 @@
 
 // AdmitRequest decides whether a request for a service may be sent, given what all VMs saw of the service. Account may be nil.
 func (p *Picker) AdmitRequest(service string, level int, account *router.Account) admitter.Decision {
-	r := admitter.Request{Service: service, Level: level}
-	if account != nil {
-		r.Account, r.Rate = account.Name, account.Rate
-	}
+	r := roomRequest(service, level, account)
 	counts := p.FleetUsage(service).Sum
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.Clock.Now()
-	if now.Sub(p.room.updatedAt[service]) >= admitter.UpdateInterval {
+	if p.room.isDue(now, service) {
 		p.room.updatedAt[service] = now
-		if use, ok := p.service(service).balancer.Use(now); ok {
-			p.room.admitter.Update(now, service, admitter.Load{Counts: counts, Use: use})
-		}
+		updateRoom(p.room.admitter, now, service, counts, p.service(service).balancer)
 	}
 	d := p.room.admitter.Admit(now, r)
 	if !d.Admitted {
@@ -57,6 +54,26 @@
 	return d
 }
 
+func roomRequest(service string, level int, account *router.Account) admitter.Request {
+	r := admitter.Request{Service: service, Level: level}
+	if account != nil {
+		r.Account, r.Rate = account.Name, account.Rate
+	}
+	return r
+}
+
+// isDue reports whether the admitter is to be told of a service.
+func (r *room) isDue(now time.Time, service string) bool {
+	return now.Sub(r.updatedAt[service]) >= admitter.UpdateInterval
+}
+
+// updateRoom tells an admitter what is known of a service.
+func updateRoom(a *admitter.Admitter, now time.Time, service string, counts aggregator.Counts, b *balancer.Balancer) {
+	if use, ok := b.Use(now); ok {
+		a.Update(now, service, admitter.Load{Counts: counts, Use: use})
+	}
+}
+
 // JoinRetries lets a request whose attempt failed wait for a retry. limit is when an answer is due; the time that an answer
 // usually takes is taken off. The request must leave again.
 func (p *Picker) JoinRetries(service string, r *router.Route, t admitter.Try, limit time.Time) *admitter.Ticket {
--- a/internal/relayer/placement.go
+++ b/internal/relayer/placement.go
@@ -40,7 +40,7 @@
 		r.placementMu.Unlock()
 		return p
 	}
-	p = &placement{self: r.Self, members: ms, leaders: map[string][]placer.Candidate{}, owners: map[ownerKey]owner{}}
+	p = newPlacement(r.Self, ms)
 	r.placed = p
 	r.placementMu.Unlock()
 	r.rates.place(p)
@@ -48,6 +48,10 @@
 	return p
 }
 
+func newPlacement(self placer.VM, ms []tracker.Member) *placement {
+	return &placement{self: self, members: ms, leaders: map[string][]placer.Candidate{}, owners: map[ownerKey]owner{}}
+}
+
 // candidates returns the VMs of a domain, or of the fleet if it is empty, that may hold a soft role, weighted by capacity.
 func (p *placement) candidates(domain string) []placer.Candidate {
 	var cs []placer.Candidate
--- a/internal/relayer/rates.go
+++ b/internal/relayer/rates.go
@@ -134,12 +134,9 @@
 	defer s.mu.Unlock()
 	now := s.relayer.Clock.Now()
 	b := s.bucket(now, t.GetAccount(), l)
-	b.SetShare(now, share)
-	rep := &wire.Taken{Tokens: uint32(b.Take(now, int(t.GetWant())))}
+	rep := takeShare(b.WindowLimiter, now, share, int(t.GetWant()))
 	if rep.GetTokens() > 0 {
 		b.reportedTo = placer.VM{}
-	} else {
-		rep.NextMs = uint32(b.RetryAfter(now).Milliseconds() + 1)
 	}
 	if t.GetNumber() > 0 {
 		q := limiter.Question{Number: t.GetNumber(), Used: t.GetUsed(), Alone: t.GetAlone(), Recent: limiter.Tokens(t.GetRecentAlone()), Want: limiter.Tokens(t.GetWantAlone())}
@@ -148,6 +145,16 @@
 	return rep, nil
 }
 
+// takeShare takes up to want tokens of the share of a limit that this VM may grant.
+func takeShare(w *limiter.WindowLimiter, now time.Time, share float64, want int) *wire.Taken {
+	w.SetShare(now, share)
+	rep := &wire.Taken{Tokens: uint32(w.Take(now, want))}
+	if rep.GetTokens() == 0 {
+		rep.NextMs = uint32(w.RetryAfter(now).Milliseconds() + 1)
+	}
+	return rep
+}
+
 // ownedLimit returns the limit of an account, or an error if this VM must not own its rate now.
 func (s *rates) ownedLimit(account string) (limiter.Limit, error) {
 	if err := s.relayer.checkOwner(); err != nil {
--- a/pkg/admitter/accounts.go
+++ b/pkg/admitter/accounts.go
@@ -71,19 +71,36 @@
 	}
 	a.weight = r.Rate
 	// The request itself is no evidence of a high rate.
-	p := min(1, c.correction*c.multiple*c.weightOf(a)/max(c.rateOf(a, now), forgottenRate))
-	if share >= 1 {
-		p = 1
-	}
+	p := c.chance(now, *a, share)
 	a.offered.count(now)
 	c.offered.count(now)
-	if random >= max(p, minLevelShare*share) {
+	if random >= p {
 		return false
 	}
 	c.admitted.count(now)
 	return true
 }
 
+// chance returns the probability that a request of an account is let in.
+func (c *accounts) chance(now time.Time, a account, share float64) float64 {
+	if share >= 1 {
+		return 1
+	}
+	p := min(1, c.correction*c.multiple*c.weightOf(&a)/max(c.rateOf(&a, now), forgottenRate))
+	return max(p, minLevelShare*share)
+}
+
+// clone returns a copy that shares nothing with the accounts.
+func (c *accounts) clone() *accounts {
+	o := *c
+	o.by = make(map[string]*account, len(c.by))
+	for n, a := range c.by {
+		v := *a
+		o.by[n] = &v
+	}
+	return &o
+}
+
 // weightOf returns the weight of an account: its limit, or 1 without any.
 func (*accounts) weightOf(a *account) float64 {
 	if a.weight > 0 {
--- a/pkg/admitter/admitter.go
+++ b/pkg/admitter/admitter.go
@@ -193,6 +193,45 @@
 	return Decision{RetryAfter: s.retryAfter(now, a.random.Float64())}
 }
 
+// Chance says what Admit would decide.
+type Chance struct {
+	// Share is the share of the level's requests that is let in, and Account that of the account's.
+	Share, Account float64
+	// MinRetryAfter and MaxRetryAfter bound the delay after which the caller of a rejected request should return.
+	MinRetryAfter, MaxRetryAfter time.Duration
+}
+
+// Chance returns what Admit would decide for a request, which it does not count. Update must not be called concurrently.
+func (a *Admitter) Chance(now time.Time, r Request) Chance {
+	s := a.services[r.Service]
+	if s == nil {
+		return Chance{Share: 1, Account: 1}
+	}
+	l := s.levels[r.Level]
+	known := account{offered: rate{0, now}}
+	if o := l.by[r.Account]; o != nil {
+		known = *o
+	}
+	known.weight = r.Rate
+	return Chance{
+		Share: s.shares[r.Level], Account: l.chance(now, known, s.shares[r.Level]),
+		MinRetryAfter: s.retryAfter(now, 0), MaxRetryAfter: s.retryAfter(now, 1),
+	}
+}
+
+// Clone returns a copy with another random source, which shares nothing with the admitter.
+func (a *Admitter) Clone(r *rand.Rand) *Admitter {
+	c := New(r)
+	for n, s := range a.services {
+		v := *s
+		for i, l := range s.levels {
+			v.levels[i] = l.clone()
+		}
+		c.services[n] = &v
+	}
+	return c
+}
+
 // retryAfter returns a delay that spreads the returns over the time in which room is expected.
 func (s *service) retryAfter(now time.Time, random float64) time.Duration {
 	d := minRetryAfter
