Add the command explain

jacinthproxy explain asks a running gateway what it would do with a request: route, account, rate, refusal with its Retry-After, room, and candidates with the parts of their costs. The receiver identifies the request by the part of prepare that changes nothing; explained refusals are compared with those that callers get, case by case (the test fails if the wait for a token is left out). Errors of the command leave out the URL, as it has the key.

--- a/internal/receiver/choose.go
+++ b/internal/receiver/choose.go
@@ -89,6 +89,9 @@
 	return res, ok
 }
 
+// takeNoRequest is the detail of a request that finds only instances that may be available too late for it.
+const takeNoRequest = "the instances take no request now"
+
 // awaitToken waits until an instance whose limit is reached may have a token again; refused says that the request was just
 // refused at one. If that is later than until, or there is no such instance, ok is false and res is the result of the request.
 func (r *retrier) awaitToken(ctx context.Context, want balancer.Request, until time.Time, refused bool) (res result, ok bool) {
@@ -98,7 +101,7 @@
 	}
 	wait = max(wait, limitPause)
 	if len(r.inFlight) > 0 || r.Clock.Now().Add(wait).After(until) {
-		r.detail = "the instances take no request now"
+		r.detail = takeNoRequest
 		if r.mayHaveRun || r.sent > 0 {
 			return r.giveUp(), false
 		}
@@ -117,16 +120,16 @@
 
 // maxLimitWait returns how long the request may wait for an instance whose limit is not reached. It is zero after the wait of
 // another request failed.
-func (r *retrier) maxLimitWait() time.Duration {
-	if r.failedWaits.recent(r.service, r.Clock.Now()) {
+func (x *exchange) maxLimitWait() time.Duration {
+	if x.failedWaits.recent(x.service, x.Clock.Now()) {
 		return 0
 	}
 	f := limitWaitNonIdempotent
-	if r.route.Idempotent {
+	if x.route.Idempotent {
 		f = limitWaitIdempotent
 	}
-	left := r.deadline.Sub(r.Clock.Now())
-	return min(time.Duration(f*float64(r.route.Objective)), left/2)
+	left := x.deadline.Sub(x.Clock.Now())
+	return min(time.Duration(f*float64(x.route.Objective)), left/2)
 }
 
 // failedWaits holds, by service, when a request last waited for an instance and got none. It is safe for concurrent use.
--- a/internal/receiver/exchange.go
+++ b/internal/receiver/exchange.go
@@ -102,24 +102,44 @@
 	if left := x.Started.Add(startupWait).Sub(x.arrivedAt); left > 0 {
 		x.Tracker.WaitUntilKnown(x.req.Context(), left)
 	}
+	table, res, ok := x.identify()
+	if !ok {
+		return res, false
+	}
+	if res, ok = x.readBody(table.Limits); !ok {
+		return res, false
+	}
+	x.service = x.splits.pick(x.route)
+	x.admission = x.Admitter.Admit(x.req.Context(), x.account)
+	if !x.admission.Admitted {
+		return overRate(x.admission.RetryAfter), false
+	}
+	x.Picker.CountRequest(x.service)
+	x.level = aggregator.Level(x.route.EffectivePriority(x.account))
+	return x.checkRoom()
+}
+
+// identify finds the route and the client account of the request and its deadline, and checks that it may be served now. It
+// changes nothing but the exchange. If that ends the request, ok is false and res is its result.
+func (x *exchange) identify() (table *router.Table, res result, ok bool) {
 	table, confirmedAt := x.Tracker.Table()
 	if table == nil {
-		return unavailable(ReasonNoConfiguration, "this daemon knows no configuration yet"), false
+		return table, unavailable(ReasonNoConfiguration, "this daemon knows no configuration yet"), false
 	}
 	if !x.Tracker.MembersKnown() {
-		return unavailable(ReasonNoConfiguration, "this daemon does not know its peers yet"), false
+		return table, unavailable(ReasonNoConfiguration, "this daemon does not know its peers yet"), false
 	}
 	x.configurationVersion, x.configurationAge = table.Version, x.arrivedAt.Sub(confirmedAt)
 	x.target = requestTarget(x.req)
 	path, _, _ := strings.Cut(x.target, "?")
 	x.route = table.Route(x.req.Host, path)
 	if x.route == nil {
-		return x.deny(ReasonNoRoute, http.StatusNotFound, "no route has the host and path"), false
+		return table, x.deny(ReasonNoRoute, http.StatusNotFound, "no route has the host and path"), false
 	}
 	if x.needsKey = table.NeedsKey(x.route); x.needsKey {
 		x.account = table.Account(x.req.Header.Get(x.HeaderNames.Key))
 		if x.account == nil {
-			return x.deny(ReasonUnknownKey, http.StatusUnauthorized, "no client account has the key"), false
+			return table, x.deny(ReasonUnknownKey, http.StatusUnauthorized, "no client account has the key"), false
 		}
 	}
 	timeout := x.route.Timeout
@@ -129,29 +149,24 @@
 	x.deadline = Arrival(x.req.Context(), x.arrivedAt).Add(timeout)
 	if !x.deadline.After(x.arrivedAt) {
 		x.bodyUnread = true
-		return unavailable(ReasonNoInstance, "the time was up before the request could be served"), false
+		return table, unavailable(ReasonNoInstance, "the time was up before the request could be served"), false
 	}
 	if res, ok = x.checkKeyAge(); !ok {
-		return res, false
+		return table, res, false
 	}
 	if !x.stop.mayBegin(x.deadline) {
 		x.bodyUnread = true
-		return stopping(), false
+		return table, stopping(), false
 	}
-	if res, ok = x.readBody(table.Limits); !ok {
-		return res, false
-	}
-	x.service = x.splits.pick(x.route)
-	x.admission = x.Admitter.Admit(x.req.Context(), x.account)
-	if !x.admission.Admitted {
-		return result{
-			reason: ReasonOverRate, status: http.StatusTooManyRequests, retryAfter: max(x.admission.RetryAfter, minRetryAfter),
-			detail: "the client account is beyond its rate",
-		}, false
+	return table, result{}, true
+}
+
+// overRate refuses a request of an account that is beyond its rate; retryAfter is the time until a token may be available.
+func overRate(retryAfter time.Duration) result {
+	return result{
+		reason: ReasonOverRate, status: http.StatusTooManyRequests, retryAfter: max(retryAfter, minRetryAfter),
+		detail: "the client account is beyond its rate",
 	}
-	x.Picker.CountRequest(x.service)
-	x.level = aggregator.Level(x.route.EffectivePriority(x.account))
-	return x.checkRoom()
 }
 
 // requestTarget returns the path and query exactly as the caller sent them.
--- a/internal/receiver/room.go
+++ b/internal/receiver/room.go
@@ -20,11 +20,16 @@
 	if d.Admitted {
 		return result{}, true
 	}
+	return x.noRoom(d.RetryAfter), false
+}
+
+// noRoom refuses a request for want of room; retryAfter is the delay that the admission wants.
+func (x *exchange) noRoom(retryAfter time.Duration) result {
 	left := time.Duration(honoredShare * float64(x.deadline.Sub(x.Clock.Now())))
 	return result{
-		reason: ReasonNoRoom, status: http.StatusServiceUnavailable, retryAfter: max(minRetryAfter, min(d.RetryAfter, left)),
+		reason: ReasonNoRoom, status: http.StatusServiceUnavailable, retryAfter: max(minRetryAfter, min(retryAfter, left)),
 		detail: "the service is short of room and other requests go first",
-	}, false
+	}
 }
 
 // takeRetry takes a retry from the budget. Unless another attempt is in flight, it waits for one that is expected while an answer
--- a/internal/runner/operators.go
+++ b/internal/runner/operators.go
@@ -1,21 +1,64 @@
 package runner
 
 import (
+	"cmp"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/labstack/echo/v4"
 
+	"github.com/jacinthproxy/jacinthproxy/internal/picker"
+	"github.com/jacinthproxy/jacinthproxy/internal/receiver"
+	"github.com/jacinthproxy/jacinthproxy/internal/relayer"
 	"github.com/jacinthproxy/jacinthproxy/internal/tracker"
 	"github.com/jacinthproxy/jacinthproxy/pkg/balancer"
 )
 
-// Paths of the operators' HTTP server.
+// Paths of the operators' HTTP server. PathExplain takes host, path, method, key and the caller's failure domain as its query.
 const (
 	pathDump    = "/dump"
 	pathMetrics = "/metrics"
+	PathExplain = "/explain"
 )
 
+// Explanation is the answer to a question of what would become of a request.
+type Explanation struct {
+	// VM and Domain name the VM that would do so, and its failure domain.
+	VM     string `json:"vm"`
+	Domain string `json:"domain"`
+	// CallerDomain is the failure domain of the caller, and Addresses those that the directory may give it; empty if the
+	// question had none.
+	CallerDomain string   `json:"callerDomain"`
+	Addresses    []string `json:"addresses"`
+	receiver.Explanation
+}
+
+// explainer implements receiver.Explainer.
+type explainer struct {
+	*relayer.Relayer
+	*picker.Picker
+}
+
+// explain answers a question without any effect on the daemon.
+func (r *Runner) explain(c echo.Context) error {
+	v := c.QueryParams()
+	q := receiver.Question{Host: v.Get("host"), Path: v.Get("path"), Method: cmp.Or(v.Get("method"), http.MethodGet), Key: v.Get("key")}
+	e, err := r.receiver.Explain(c.Request().Context(), explainer{r.relayer, r.picker}, q)
+	if err != nil {
+		return c.String(http.StatusBadRequest, err.Error())
+	}
+	x := Explanation{VM: r.Settings.Name, Domain: r.Settings.Domain, CallerDomain: v.Get("domain"), Explanation: e}
+	if x.CallerDomain != "" {
+		as, _ := r.Addresses(x.CallerDomain)
+		for _, a := range as {
+			x.Addresses = append(x.Addresses, a.String())
+		}
+		slices.Sort(x.Addresses)
+	}
+	return c.JSONPretty(http.StatusOK, x, "  ")
+}
+
 // state is the content of a dump: what the daemon knows of the fleet and how old that is.
 type state struct {
 	VM               string                          `json:"vm"`
@@ -50,6 +93,7 @@
 	e := echo.New()
 	e.HideBanner = true
 	e.GET(pathDump, func(c echo.Context) error { return c.JSONPretty(http.StatusOK, r.state(), "  ") })
+	e.GET(PathExplain, r.explain)
 	e.GET(pathMetrics, echo.WrapHandler(r.metrics.handler()))
 	return e
 }
--- a/main.go
+++ b/main.go
@@ -30,6 +30,7 @@
 	Config  configCommand  `cmd:"" help:"Publish and read the configuration."`
 	Key     keyCommand     `cmd:"" help:"Create and withdraw keys."`
 	Route   routeCommand   `cmd:"" help:"Show which route of a configuration handles a request, and why."`
+	Explain explainCommand `cmd:"" help:"Show what a running VM would do with a request, and why, without sending it."`
 	Dump    dumpCommand    `cmd:"" help:"Show the state of a running daemon."`
 	Version versionCommand `cmd:"" help:"Print the version."`
 }
@@ -49,6 +50,7 @@
   jacinthproxy config publish --log http://10.0.0.2:9000 --team ledger --file ledger.json
   jacinthproxy key create --log http://10.0.0.2:9000 --team ledger --account pit-crew --name phone-1
   jacinthproxy route --file configuration.json --host a.example --path /p/q/
+  jacinthproxy explain --operators 10.0.0.5:7661 --host a.example --path /p/q/
   jacinthproxy dump --operators 127.0.0.1:7070 --watch
 
 Exit codes: 0 done, 1 failed, 2 findings in the input or on the command line, 3 another change came first.`
