Check explain in the demo of the gateway

Two checks in scripts/gateway.sh: a request that is explained as answered, and one with a wrong key that is explained as refused.

--- a/scripts/gateway.sh
+++ b/scripts/gateway.sh
@@ -24,6 +24,10 @@
 check "50 dispatches are answered" statuses_are 1 /dispatch/x demo 50 '{"200":50}'
 check "requests with a wrong key are rejected" statuses_are 2 /dispatch/x wrong 5 '{"401":5}'
 check "a request without a route is not found" statuses_are 3 /none/ demo 1 '{"404":1}'
+explain() { JACINTHPROXY_KEY=$1 "$proxy" explain --operators 127.0.4.1:7661 --host ledger.example --path /balance/x; }
+is_refused() { explain wrong | grep -q '^refused   401 unknown-key'; }
+check "a request that would be answered is explained" explain demo
+check "a request that would be refused is explained" is_refused
 signal_and_wait KILL g1
 check "the other daemons still answer after one was killed" statuses_are 2 /balance/x demo 50 '{"200":50}'
 "$standin" set "http://$store/faults" '{"Away":true}'
