Begin with a whole window only at the owner of a rate

Cause: a VM that is asked for an account's rate before it learns that the owner leaves, or was marked down, still knows of the same VMs. It took that as proof that nobody else owned the rate, though it does not take itself for the owner: it granted a whole burst, and lent, on top of what the owner had just granted. The VMs were compared without their capacity, which decides on the owner as well.

Change: only a VM that is the owner by its own placement begins with a whole window; the candidates are compared with their capacities.

--- a/internal/relayer/owner_test.go
+++ b/internal/relayer/owner_test.go
@@ -187,3 +187,39 @@
 		})
 	}
 }
+
+// A VM that is asked for a rate before it learns that the owner leaves must not grant again what the owner just granted.
+func TestVMThatIsAskedBeforeItKnowsOfALeavingOwnerGrantsLittle(t *testing.T) {
+	const limit = 100
+	f := steadyFleet(20, limit)
+	first := f.relayers[0].TryAdmit(context.Background(), &f.account).Owner
+	owner := slices.IndexFunc(f.members, func(m tracker.Member) bool { return m.ID() == first })
+	require.GreaterOrEqual(t, owner, 0)
+	knows, other := (owner+1)%20, (owner+2)%20
+	var admitted []time.Time
+	send := func(requests int, vms ...int) {
+		for n := range requests {
+			if f.admit(vms[n%len(vms)]) {
+				admitted = append(admitted, f.clock.Now())
+			}
+		}
+	}
+	play := func(steps int) {
+		for range steps {
+			f.advance(100 * time.Millisecond)
+			send(40, knows, other)
+		}
+	}
+	play(70)
+	f.relayers[owner].SetRole(tracker.RoleLeaving)
+	m := f.members[owner]
+	m.Role, m.AsOf = tracker.RoleLeaving, f.clock.Now().Add(time.Millisecond)
+	f.trackers[knows].UpdateMember(m)
+	send(limit, knows)
+	require.NotEqual(t, first, f.relayers[knows].TryAdmit(context.Background(), &f.account).Owner)
+	for _, tr := range f.trackers {
+		tr.UpdateMember(m)
+	}
+	play(60)
+	require.LessOrEqual(t, float64(mostIn(admitted, 5*time.Second)), 1.1*(limit*5+limit)+20)
+}
--- a/internal/relayer/rates.go
+++ b/internal/relayer/rates.go
@@ -28,7 +28,7 @@
 	placedAt time.Time
 	placed   *placement
 	// sharers are the VMs among which rates are placed. Since steadySince they are the same, and this VM reaches all of them.
-	sharers     []placer.VM
+	sharers     []placer.Candidate
 	steadySince time.Time
 	// borrowers admit requests of accounts while their owners do not answer.
 	borrowers map[string]*limiter.Borrower
@@ -169,7 +169,7 @@
 	r := s.relayer
 	b := s.buckets[account]
 	if b == nil {
-		initial, begins := s.initialTokens(now, l)
+		initial, begins := s.initialTokens(now, account, l)
 		b = &rateBucket{WindowLimiter: limiter.NewWindowLimiter(now, r.RateWindow, l, initial), ownedAt: now}
 		if begins {
 			b.StartLending()
@@ -183,10 +183,10 @@
 
 // initialTokens returns the tokens that this VM may grant at once of a rate of which it granted none so far, and whether no other
 // VM can have granted or lent any of it just before. s.mu must be held.
-func (s *rates) initialTokens(now time.Time, l limiter.Limit) (initial limiter.Tokens, begins bool) {
+func (s *rates) initialTokens(now time.Time, account string, l limiter.Limit) (initial limiter.Tokens, begins bool) {
 	r := s.relayer
 	switch {
-	case !s.steadySince.IsZero() && now.Sub(s.steadySince) >= r.RateWindow+downAfter:
+	case s.owns(account) && now.Sub(s.steadySince) >= r.RateWindow+downAfter:
 		// Another owner would have been among the same VMs, and would have been this one.
 		return l.Refill(r.RateWindow) + l.Burst, true
 	case r.coldStart():
@@ -195,16 +195,23 @@
 	return limiter.Tokens(initialTokens + initialSeconds*l.Rate), false
 }
 
+// owns reports whether this VM takes itself for the owner of an account's rate. It may be asked before it learns that the owner was
+// lost. s.mu must be held.
+func (s *rates) owns(account string) bool {
+	if s.placed == nil {
+		return false
+	}
+	o, ok := s.placed.owner(rateKey(account), "")
+	return ok && o.Address == s.relayer.Self.Address
+}
+
 // noteSharers records since when rates are placed among the same VMs, all of which this one reaches. s.mu must be held.
 func (s *rates) noteSharers(now time.Time, p *placement, steady bool) {
 	if p != s.placed {
 		s.placed = p
-		var vms []placer.VM
-		for _, c := range p.candidates("") {
-			vms = append(vms, c.VM)
-		}
-		steady = steady && slices.EqualFunc(vms, s.sharers, placer.VM.Same)
-		s.sharers = vms
+		cs := p.candidates("")
+		steady = steady && slices.Equal(cs, s.sharers)
+		s.sharers = cs
 	}
 	if !steady || s.steadySince.IsZero() {
 		s.steadySince = now
