Raise what an owner grants once it hears that the fleet has just started

Cause: after a power failure, an owner of a rate that is asked before it has heard that nearly all VMs started anew began with 0.1 s of the rate, and with the part of the fleet that it reached so far, for its whole life.

Change: within the time of a cold start, such an owner gets what it would have begun with, once. The sum does not change: one credit of a cold start for each owner. TestOwnerThatHearsLateOfAColdStartAdmitsAsMuch fails without the change.

--- a/internal/relayer/rates.go
+++ b/internal/relayer/rates.go
@@ -37,6 +37,9 @@
 // rateBucket is the state of an account's rate.
 type rateBucket struct {
 	*limiter.WindowLimiter
+	// createdAt is when the bucket was created, and begins is set if no other VM can have granted any of the rate just before.
+	createdAt time.Time
+	begins    bool
 	// ownedAt is when this VM was last known to be the owner.
 	ownedAt time.Time
 	// reportedTo is the owner that knows all that this VM granted; zero if there is none.
@@ -170,7 +173,7 @@
 	b := s.buckets[account]
 	if b == nil {
 		initial, begins := s.initialTokens(now, l)
-		b = &rateBucket{WindowLimiter: limiter.NewWindowLimiter(now, r.RateWindow, l, initial), ownedAt: now}
+		b = &rateBucket{WindowLimiter: limiter.NewWindowLimiter(now, r.RateWindow, l, initial), createdAt: now, begins: begins, ownedAt: now}
 		if begins {
 			b.StartLending()
 		}
@@ -178,6 +181,12 @@
 		r.Logger.Info("owning rate", zap.String("account", account), zap.Float64("rate", l.Rate))
 	}
 	b.SetLimit(now, l)
+	if !b.begins && now.Sub(b.createdAt) < coldStartAge && r.coldStart() {
+		// When the bucket was created, this VM had not heard yet that nearly all others had just started, too.
+		b.RaiseInitial(now, b.createdAt, limiter.Tokens((coldStartSeconds-initialSeconds)*l.Rate))
+		b.StartLending()
+		b.begins = true
+	}
 	return b
 }
 
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -229,6 +229,43 @@
 	require.GreaterOrEqual(t, served, 40)
 }
 
+// After a power failure, an owner that is asked before it has heard of the others' restarts must not refuse for seconds what
+// callers held back.
+func TestOwnerThatHearsLateOfAColdStartAdmitsAsMuch(t *testing.T) {
+	f := newFleet(20, 40)
+	f.advance(0)
+	restart := func(is ...int) {
+		for _, i := range is {
+			m := f.members[i]
+			m.Incarnation = placer.NewIncarnation(f.clock.Now())
+			for _, tr := range f.trackers {
+				tr.UpdateMember(m)
+			}
+		}
+	}
+	all := make([]int, 20)
+	for i := range all {
+		all[i] = i
+	}
+	restart(all[:10]...)
+	served := 0
+	for i := range 20 {
+		if f.admit(i) {
+			served++
+		}
+	}
+	require.Less(t, served, 20, "another VM may have granted the rate")
+	restart(all[10:]...)
+	f.advance(100 * time.Millisecond)
+	for i := range 40 {
+		if f.admit(i % 20) {
+			served++
+		}
+	}
+	require.GreaterOrEqual(t, served, 40)
+	require.LessOrEqual(t, served, 50)
+}
+
 // slowStats takes a while to collect the loads.
 type slowStats struct {
 	discardStats
--- a/pkg/limiter/window.go
+++ b/pkg/limiter/window.go
@@ -42,6 +42,12 @@
 	return w
 }
 
+// RaiseInitial raises what a new limiter may grant at first, after it was created with less at a given time.
+func (w *WindowLimiter) RaiseInitial(now, created time.Time, by Tokens) {
+	w.granted.AddEarlier(now, now.Sub(created), -by)
+	w.bucket = NewBucket(now, w.pacingLimit(w.limit), w.bucket.Level(now)+by)
+}
+
 // SetShare sets the share of the limit that this limiter may grant from now on, as others may grant the rest. It is 1 at first.
 // What others may have granted counts for a window: the rate while they could, and the burst at the end of that time, since
 // another limiter saves it up in its first window.
