Ask VMs that are taken for down whether they are back

Nobody asks a VM that is down, and a leader that was silent for 1.5 s takes all others of its domain for down when it wakes up. Neither side exchanged with the other again: in trials of 6 VMs with a cut of their leader for 1.6 s and 4 s, the VMs of a fleet with one domain disagreed for as long as the trial went on (8 s), and those of one with two domains after the cut of 1.6 s. VMs that disagree have several owners of a rate, several leaders and several readers of the store.

Change: a leader asks each VM of its domain that it takes for down every second. The message names that VM as down (the field `down` of Exchange); the VM answers with its own state, and learns from it that the asker is there. A daemon of the former build does not tell its state, and counts as ready.

The tests of internal/relayer pass; with -race only the ones of leaders and of VMs that are down were run.

--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -242,11 +242,7 @@
 	if changed {
 		r.clearSuspicion(from.Address)
 	}
-	for _, d := range m.GetDown() {
-		if vm, err := messenger.FromVM(d.GetVm()); err == nil && vm.Address != r.Self.Address {
-			r.Tracker.CheckDown(tracker.Member{VM: vm, Role: tracker.RoleDown, AsOf: began.Add(-time.Duration(d.GetAgeMs()) * time.Millisecond)})
-		}
-	}
+	r.hearDown(began, m.GetDown())
 	r.mu.Lock()
 	b := r.outboxes[from.Address]
 	if b == nil {
--- a/internal/relayer/loops.go
+++ b/internal/relayer/loops.go
@@ -106,7 +106,7 @@
 			}
 		}
 		if leads && r.leadsByContact() {
-			r.markDown(now)
+			r.updateDown(ctx, now)
 		}
 		r.Tracker.Expire()
 		r.rates.place(r.placement())
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -76,6 +76,8 @@
 	leaderSince time.Time
 	// leadsInsteadSince is when this VM led first since it last heard from another leader; zero if it has not led since.
 	leadsInsteadSince time.Time
+	// askedDown is when this VM, while it leads, last asked each VM of its domain that it takes for down. Only runLeader uses it.
+	askedDown map[netip.AddrPort]time.Time
 	// followed is the leader of its domain that this VM exchanged with last; invalid once it led itself.
 	followed netip.AddrPort
 	// outgoing collects this VM's observations for its leader.
