Do not take a VM that is starting for back

Cause: a daemon that starts tells no state yet, and the VM that took it for down counted it as ready, as it does a daemon of the former build.

Change: only one that knows the instances counts as ready without telling its state. TestVMTellsItsStateToOneThatTakesItForDown fails without that.

--- a/internal/relayer/returns.go
+++ b/internal/relayer/returns.go
@@ -49,13 +49,17 @@
 		return // A daemon that started again announces itself.
 	}
 	r.clearSuspicion(m.Address)
-	m.Role, m.AsOf = tracker.RoleReady, began // An older daemon does not tell.
+	m.Role, m.AsOf = tracker.RoleReady, began
+	told := b.GetInstancesKnown() // An older daemon does not tell its state; one that starts knows nothing yet.
 	for _, o := range b.GetMembers() {
 		if vm, err := messenger.FromVM(o.GetVm()); err == nil && vm.Address == m.Address {
 			m = tracker.Member{VM: vm, Role: tracker.Role(o.GetRole()), Capacity: o.GetCapacity(), AsOf: began}
+			told = true
 		}
 	}
-	r.Tracker.UpdateMember(m)
+	if told {
+		r.Tracker.UpdateMember(m)
+	}
 }
 
 // hearDown takes in that a peer takes VMs for down. One that takes this VM for down is told its state again.
--- a/internal/relayer/returns_test.go
+++ b/internal/relayer/returns_test.go
@@ -26,7 +26,7 @@
 func (m directMessenger) Call(ctx context.Context, to netip.AddrPort, req *wire.Request) (*wire.Reply, error) {
 	rep, _, err := m.relayers[to].Handle(ctx, m.from, req)
 	if m.old {
-		rep.GetBeliefs().Members = nil
+		rep.GetBeliefs().Members, rep.GetBeliefs().InstancesKnown = nil, true
 	}
 	return rep, err
 }
@@ -77,6 +77,10 @@
 	down := tracker.Member{VM: r.Self, Role: tracker.RoleDown, Capacity: 1, AsOf: clock.Now().Add(time.Millisecond)}
 	other.Tracker.UpdateMember(down)
 	clock.Advance(suspectTTL)
+	r.starting.Store(true)
+	other.askDown(t.Context(), down)
+	require.Len(t, other.Tracker.DownMembers(), 1, "it is not ready yet")
+	r.starting.Store(false)
 	other.askDown(t.Context(), down)
 	require.Empty(t, other.Tracker.DownMembers())
 	for _, m := range other.Tracker.Members() {
