--- a/internal/relayer/explain.go
+++ b/internal/relayer/explain.go
@@ -64,15 +64,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.relayer.Clock.Now()
-	var w *limiter.WindowLimiter
-	if b := s.buckets[account]; b != nil {
-		w = b.Clone()
+	var b *rateBucket
+	if known := s.buckets[account]; known != nil {
+		v := *known
+		v.WindowLimiter = known.Clone()
+		b = &v
 	} else {
-		initial, _ := s.initialTokens(now, l)
-		w = limiter.NewWindowLimiter(now, s.relayer.RateWindow, l, initial)
+		b = s.newBucket(now, account, l)
 	}
-	w.SetLimit(now, l)
-	t := takeShare(w, now, share, math.MaxInt32)
+	s.adjust(now, account, b, l)
+	t := takeShare(b.WindowLimiter, now, share, math.MaxInt32)
 	e.Tokens, e.HasToken, e.RetryAfter = int(t.GetTokens()), t.GetTokens() > 0, time.Duration(t.GetNextMs())*time.Millisecond
 }
 
--- a/internal/relayer/rates.go
+++ b/internal/relayer/rates.go
@@ -28,7 +28,7 @@
 	placedAt time.Time
 	placed   *placement
 	// sharers are the VMs among which rates are placed. Since steadySince they are the same, and this VM reaches all of them.
-	sharers     []placer.VM
+	sharers     []placer.Candidate
 	steadySince time.Time
 	// borrowers admit requests of accounts while their owners do not answer.
 	borrowers map[string]*limiter.Borrower
@@ -37,6 +37,9 @@
 // rateBucket is the state of an account's rate.
 type rateBucket struct {
 	*limiter.WindowLimiter
+	// createdAt is when the bucket was created, and begins is set if no other VM can have granted any of the rate just before.
+	createdAt time.Time
+	begins    bool
 	// ownedAt is when this VM was last known to be the owner.
 	ownedAt time.Time
 	// reportedTo is the owner that knows all that this VM granted; zero if there is none.
@@ -176,24 +179,43 @@
 	r := s.relayer
 	b := s.buckets[account]
 	if b == nil {
-		initial, begins := s.initialTokens(now, l)
-		b = &rateBucket{WindowLimiter: limiter.NewWindowLimiter(now, r.RateWindow, l, initial), ownedAt: now}
-		if begins {
-			b.StartLending()
-		}
+		b = s.newBucket(now, account, l)
 		s.buckets[account] = b
 		r.Logger.Info("owning rate", zap.String("account", account), zap.Float64("rate", l.Rate))
 	}
-	b.SetLimit(now, l)
+	s.adjust(now, account, b, l)
+	return b
+}
+
+// newBucket returns a bucket for an account. s.mu must be held.
+func (s *rates) newBucket(now time.Time, account string, l limiter.Limit) *rateBucket {
+	initial, begins := s.initialTokens(now, account, l)
+	b := &rateBucket{
+		WindowLimiter: limiter.NewWindowLimiter(now, s.relayer.RateWindow, l, initial), createdAt: now, begins: begins, ownedAt: now,
+	}
+	if begins {
+		b.StartLending()
+	}
 	return b
 }
 
+// adjust applies the limit that is in force, and what was learnt of the fleet since the bucket was created. s.mu must be held.
+func (s *rates) adjust(now time.Time, account string, b *rateBucket, l limiter.Limit) {
+	b.SetLimit(now, l)
+	if !b.begins && now.Sub(b.createdAt) < coldStartAge && s.owns(account) && s.relayer.coldStart() {
+		// When the bucket was created, this VM had not heard yet that nearly all others had just started, too.
+		b.RaiseInitial(now, b.createdAt, limiter.Tokens((coldStartSeconds-initialSeconds)*l.Rate))
+		b.StartLending()
+		b.begins = true
+	}
+}
+
 // initialTokens returns the tokens that this VM may grant at once of a rate of which it granted none so far, and whether no other
 // VM can have granted or lent any of it just before. s.mu must be held.
-func (s *rates) initialTokens(now time.Time, l limiter.Limit) (initial limiter.Tokens, begins bool) {
+func (s *rates) initialTokens(now time.Time, account string, l limiter.Limit) (initial limiter.Tokens, begins bool) {
 	r := s.relayer
 	switch {
-	case !s.steadySince.IsZero() && now.Sub(s.steadySince) >= r.RateWindow+downAfter:
+	case s.owns(account) && now.Sub(s.steadySince) >= r.RateWindow+downAfter:
 		// Another owner would have been among the same VMs, and would have been this one.
 		return l.Refill(r.RateWindow) + l.Burst, true
 	case r.coldStart():
@@ -202,16 +224,23 @@
 	return limiter.Tokens(initialTokens + initialSeconds*l.Rate), false
 }
 
+// owns reports whether this VM takes itself for the owner of an account's rate. It may be asked before it learns that the owner was
+// lost. s.mu must be held.
+func (s *rates) owns(account string) bool {
+	if s.placed == nil {
+		return false
+	}
+	o, ok := s.placed.owner(rateKey(account), "")
+	return ok && o.Address == s.relayer.Self.Address
+}
+
 // noteSharers records since when rates are placed among the same VMs, all of which this one reaches. s.mu must be held.
 func (s *rates) noteSharers(now time.Time, p *placement, steady bool) {
 	if p != s.placed {
 		s.placed = p
-		var vms []placer.VM
-		for _, c := range p.candidates("") {
-			vms = append(vms, c.VM)
-		}
-		steady = steady && slices.EqualFunc(vms, s.sharers, placer.VM.Same)
-		s.sharers = vms
+		cs := p.candidates("")
+		steady = steady && slices.Equal(cs, s.sharers)
+		s.sharers = cs
 	}
 	if !steady || s.steadySince.IsZero() {
 		s.steadySince = now
