--- a/internal/relayer/rates.go
+++ b/internal/relayer/rates.go
@@ -137,12 +137,9 @@
 	defer s.mu.Unlock()
 	now := s.relayer.Clock.Now()
 	b := s.bucket(now, t.GetAccount(), l)
-	b.SetShare(now, share)
-	rep := &wire.Taken{Tokens: uint32(b.Take(now, int(t.GetWant())))}
+	rep := takeShare(b.WindowLimiter, now, share, int(t.GetWant()))
 	if rep.GetTokens() > 0 {
 		b.reportedTo = placer.VM{}
-	} else {
-		rep.NextMs = uint32(b.RetryAfter(now).Milliseconds() + 1)
 	}
 	if t.GetNumber() > 0 {
 		q := limiter.Question{Number: t.GetNumber(), Used: t.GetUsed(), Alone: t.GetAlone(), Recent: limiter.Tokens(t.GetRecentAlone()), Want: limiter.Tokens(t.GetWantAlone())}
@@ -151,6 +148,16 @@
 	return rep, nil
 }
 
+// takeShare takes up to want tokens of the share of a limit that this VM may grant.
+func takeShare(w *limiter.WindowLimiter, now time.Time, share float64, want int) *wire.Taken {
+	w.SetShare(now, share)
+	rep := &wire.Taken{Tokens: uint32(w.Take(now, want))}
+	if rep.GetTokens() == 0 {
+		rep.NextMs = uint32(w.RetryAfter(now).Milliseconds() + 1)
+	}
+	return rep
+}
+
 // ownedLimit returns the limit of an account, or an error if this VM must not own its rate now.
 func (s *rates) ownedLimit(account string) (limiter.Limit, error) {
 	if err := s.relayer.checkOwner(); err != nil {
@@ -172,22 +179,35 @@
 	r := s.relayer
 	b := s.buckets[account]
 	if b == nil {
-		initial, begins := s.initialTokens(now, account, l)
-		b = &rateBucket{WindowLimiter: limiter.NewWindowLimiter(now, r.RateWindow, l, initial), createdAt: now, begins: begins, ownedAt: now}
-		if begins {
-			b.StartLending()
-		}
+		b = s.newBucket(now, account, l)
 		s.buckets[account] = b
 		r.Logger.Info("owning rate", zap.String("account", account), zap.Float64("rate", l.Rate))
 	}
+	s.adjust(now, account, b, l)
+	return b
+}
+
+// newBucket returns a bucket for an account. s.mu must be held.
+func (s *rates) newBucket(now time.Time, account string, l limiter.Limit) *rateBucket {
+	initial, begins := s.initialTokens(now, account, l)
+	b := &rateBucket{
+		WindowLimiter: limiter.NewWindowLimiter(now, s.relayer.RateWindow, l, initial), createdAt: now, begins: begins, ownedAt: now,
+	}
+	if begins {
+		b.StartLending()
+	}
+	return b
+}
+
+// adjust applies the limit that is in force, and what was learnt of the fleet since the bucket was created. s.mu must be held.
+func (s *rates) adjust(now time.Time, account string, b *rateBucket, l limiter.Limit) {
 	b.SetLimit(now, l)
-	if !b.begins && now.Sub(b.createdAt) < coldStartAge && s.owns(account) && r.coldStart() {
+	if !b.begins && now.Sub(b.createdAt) < coldStartAge && s.owns(account) && s.relayer.coldStart() {
 		// When the bucket was created, this VM had not heard yet that nearly all others had just started, too.
 		b.RaiseInitial(now, b.createdAt, limiter.Tokens((coldStartSeconds-initialSeconds)*l.Rate))
 		b.StartLending()
 		b.begins = true
 	}
-	return b
 }
 
 // initialTokens returns the tokens that this VM may grant at once of a rate of which it granted none so far, and whether no other
