--- a/pkg/balancer/trial.go
+++ b/pkg/balancer/trial.go
@@ -59,8 +59,8 @@
 	return b.pickOnceTrial(now, r)
 }
 
-// pickIdempotentTrial returns, of two random instances that are due, the one with the longer time without activity, so
-// that processes with the same view don't all choose the same one.
+// pickIdempotentTrial returns an instance for a trial by an idempotent request, or nil. The failure that is expected of it is taken
+// from the allowance.
 func (b *Balancer) pickIdempotentTrial(now time.Time, r Request) *state {
 	b.dueTrials = b.dueTrials[:0]
 	for _, s := range b.order {
