--- a/review/drive/instance.go
+++ b/review/drive/instance.go
@@ -18,6 +18,8 @@
 type run struct {
 	id, tenant string
 	at         time.Time
+	// ended is when the instance stopped work on it.
+	ended time.Time
 }
 
 // instance is a sound instance that runs each request for a time and answers it.
@@ -68,12 +70,21 @@
 	}
 	at := time.Now()
 	i.mu.Lock()
-	i.runs = append(i.runs, run{id, r.Header.Get("Tenant"), at})
+	k := len(i.runs)
+	i.runs = append(i.runs, run{id: id, tenant: r.Header.Get("Tenant"), at: at})
 	i.mu.Unlock()
 	i.f.record.addf("%s runs %s of %q", i.id, id, r.Header.Get("Tenant"))
+	dropped := false
 	select {
 	case <-time.After(i.work):
-	case <-r.Context().Done():
+	case <-r.Context().Done(): // The connection has closed.
+		dropped = true
+	}
+	i.mu.Lock()
+	i.runs[k].ended = time.Now()
+	i.mu.Unlock()
+	if dropped {
+		i.f.record.addf("%s drops %s", i.id, id)
 		return
 	}
 	w.Header().Set("Server-Signature", "sig-"+id)
--- a/review/drive/main.go
+++ b/review/drive/main.go
@@ -23,6 +23,7 @@
 // cases are the scripted cases by name. Each is told whether to cause the disruption.
 var cases = map[string]func(f *fleet, trouble bool) verdict{
 	"forgotten-rate": forgottenRate,
+	"leave-ahead":    leaveAhead,
 }
 
 func main() {
