review: a fleet that lost most machines for good does not recover from a restart (RECOVER)

Cause: VMs that left stay in the store's list; after a loss of all VMs they own rates, lead domains and count as peers.

--- a/review/drive/main.go
+++ b/review/drive/main.go
@@ -22,8 +22,9 @@
 
 // cases are the scripted cases by name. Each is told whether to cause the disruption.
 var cases = map[string]func(f *fleet, trouble bool) verdict{
-	"forgotten-rate": forgottenRate,
-	"leave-ahead":    leaveAhead,
+	"removed-machines": removedMachines,
+	"forgotten-rate":   forgottenRate,
+	"leave-ahead":      leaveAhead,
 }
 
 func main() {
