review: the script of case 6 replaces machines in turn

Cause: a fleet of constant size whose machines are replaced fails in the same way, and is what an operator does.

--- a/review/drive/removed.go
+++ b/review/drive/removed.go
@@ -12,24 +12,27 @@
 
 // The deployment and its load: tenants that stay within their limits by the factor of the small sites.
 const (
-	removedVMs      = 18
-	removedTenants  = 4
-	removedRate     = 20.0
-	removedFactor   = 1.6
-	removedBefore   = 6 * time.Second
-	removedPerStep  = 2
-	removedStep     = 1300 * time.Millisecond
-	removedVMsLeft  = 2
-	removedDown     = 1200 * time.Millisecond
+	fleetVMs       = 4
+	generations    = 5
+	removedTenants = 4
+	removedRate    = 20.0
+	removedFactor  = 1.6
+	calmFor        = 6 * time.Second
+	// joinFor is how long new machines run beside the old ones before these are stopped, stopPerStep at a time each stopStep.
+	joinFor     = 2 * time.Second
+	stopPerStep = 2
+	stopStep    = 1300 * time.Millisecond
+	// fleetDown is how long the processes are gone at the end.
+	fleetDown       = 1200 * time.Millisecond
 	recovery        = 15 * time.Second
 	judgedFor       = 10 * time.Second
 	recoveredShare  = 0.25
 	removedAttempts = 3
 )
 
-// removedMachines removes most machines by planned stops, and kills the processes on the others at once, later.
+// removedMachines replaces all machines in turn by new ones, several times, and later kills all processes at once.
 func removedMachines(f *fleet, trouble bool) verdict {
-	if err := f.addVMs(removedVMs, "a", "b"); err != nil {
+	if err := f.addVMs(fleetVMs*generations, "a", "b"); err != nil {
 		return verdict{err: err}
 	}
 	for n := range 8 {
@@ -50,6 +53,9 @@
 	if err := f.publish(1, rs...); err != nil {
 		return verdict{err: err}
 	}
+	all := f.vms
+	defer func() { f.vms = all }()
+	f.vms = all[:fleetVMs]
 	if err := f.startAll(); err != nil {
 		return verdict{err: err}
 	}
@@ -57,24 +63,21 @@
 	for t := range removedTenants {
 		l.wait.Go(func() { l.send(t) })
 	}
-	time.Sleep(removedBefore)
-	gone, left := f.vms[:removedVMs-removedVMsLeft], f.vms[removedVMs-removedVMsLeft:]
-	if trouble {
-		if err := l.remove(gone); err != nil {
+	time.Sleep(calmFor)
+	for g := 1; trouble && g < generations; g++ {
+		if err := l.replace(all[fleetVMs*g : fleetVMs*(g+1)]); err != nil {
 			return verdict{err: err}
 		}
-	} else {
-		left = f.vms
 	}
-	time.Sleep(removedBefore)
-	before := l.take()
+	time.Sleep(calmFor)
+	before, left := l.take(), f.vms
 	for _, v := range left {
 		f.signal(v, syscall.SIGKILL)
 	}
 	for _, v := range left {
 		<-v.done
 	}
-	time.Sleep(removedDown)
+	time.Sleep(fleetDown)
 	for _, v := range left {
 		if err := f.start(v); err != nil {
 			return verdict{err: err}
@@ -108,12 +111,26 @@
 	counts counts
 }
 
+// replace starts new machines and stops the old ones for good, once the new ones are ready.
+func (l *removedLoad) replace(next []*vm) error {
+	old := l.f.vms
+	l.f.vms = next
+	if err := l.f.startAll(); err != nil {
+		return err
+	}
+	l.mu.Lock()
+	l.vms = append(append([]*vm(nil), old...), next...)
+	l.mu.Unlock()
+	time.Sleep(joinFor)
+	return l.remove(old)
+}
+
 // remove stops machines for good, a few at a time. Clients leave a machine with its SIGTERM, as its callers' list does.
 func (l *removedLoad) remove(gone []*vm) error {
 	var g sync.WaitGroup
 	errs := make(chan error, len(gone))
-	for i := 0; i < len(gone); i += removedPerStep {
-		for _, v := range gone[i:min(i+removedPerStep, len(gone))] {
+	for i := 0; i < len(gone); i += stopPerStep {
+		for _, v := range gone[i:min(i+stopPerStep, len(gone))] {
 			l.mu.Lock()
 			l.vms = l.vms[1:]
 			l.mu.Unlock()
@@ -123,7 +140,7 @@
 				errs <- l.f.silence(v)
 			})
 		}
-		time.Sleep(removedStep)
+		time.Sleep(stopStep)
 	}
 	g.Wait()
 	for range gone {
