--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -19,6 +19,8 @@
 	wait   sync.WaitGroup
 	mu     sync.Mutex
 	n      int
+	// answered is called with each answer; it may be nil.
+	answered func(answer)
 }
 
 func newClient(r *record, limit time.Duration) *client {
@@ -44,6 +46,9 @@
 	defer func() {
 		a.ended = time.Now()
 		c.record.addAnswer(a)
+		if c.answered != nil {
+			c.answered(a)
+		}
 	}()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+m.address()+path, nil)
 	if err != nil {
