--- a/review/rig/instance.go
+++ b/review/rig/instance.go
@@ -34,7 +34,7 @@
 	if err != nil {
 		return nil, err
 	}
-	i := &instance{Instance: e, site: s, zone: zones[n%len(zones)], born: time.Now(), state: "ready", registered: true}
+	i := &instance{Instance: e, site: s, zone: s.zones[n%len(s.zones)], born: time.Now(), state: "ready", registered: true}
 	e.SetIdleTimeout(10 * time.Second)
 	i.answerAfter(work)
 	s.instances = append(s.instances, i)
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -4,6 +4,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,22 +20,29 @@
 
 // cases are the cases by name. Each returns whether its rule was broken.
 var cases = map[string]func(s *site, trouble bool) (bool, error){
+	"odd-key": func(s *site, trouble bool) (bool, error) {
+		return odd{rate: 30, burst: 30, offered: 100, machines: 4}.play(s, trouble)
+	},
+	"machine-full": func(s *site, trouble bool) (bool, error) {
+		return (&starved{site: s, served: map[string]int{}, sent: map[string]int{}}).play(trouble)
+	},
 	"holder-killed": func(s *site, trouble bool) (bool, error) {
 		return quota{rate: 100, burst: 400, offered: 700, machines: 4, after: 2900 * time.Millisecond, disturb: killHolder}.play(s, trouble)
 	},
 	"all-killed": func(s *site, trouble bool) (bool, error) {
 		return quota{rate: 100, burst: 100, offered: 700, machines: 4, after: 4 * time.Second, disturb: killAll}.play(s, trouble)
 	},
-	"machine-full": func(s *site, trouble bool) (bool, error) {
-		return (&starved{site: s, served: map[string]int{}, sent: map[string]int{}}).play(trouble)
-	},
 	"cap-lowered-and-raised": func(s *site, trouble bool) (bool, error) {
 		q := quota{rate: 100, burst: 400, offered: 700, machines: 4, after: 2900 * time.Millisecond}
 		q.disturb = q.lowerAndRaise
 		return q.play(s, trouble)
 	},
+	"options": playOptions,
 }
 
+// maxTime bounds a case.
+const maxTime = 110 * time.Second
+
 func main() {
 	name := flag.String("case", "", "name of the case")
 	path := flag.String("record", "record.txt", "file for what was sent, answered and run")
@@ -78,5 +87,15 @@
 		return false, err
 	}
 	defer s.stop()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		select {
+		case <-signals:
+		case <-time.After(maxTime):
+		}
+		s.stop()
+		os.Exit(exitFailed)
+	}()
 	return play(s, os.Getenv("TROUBLE") != "0")
 }
