--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -202,24 +202,33 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// owns reports whether the log of a machine says that it holds something, such as the rate of a tenant.
-func (m *machine) logged(parts ...string) bool {
+// lastLine returns the last line of a machine's log that contains all parts, empty if there is none.
+func (m *machine) lastLine(parts ...string) string {
 	b, err := os.ReadFile(m.log)
 	if err != nil {
-		return false
+		return ""
 	}
+	last := ""
 	for line := range strings.Lines(string(b)) {
 		all := true
 		for _, p := range parts {
 			all = all && strings.Contains(line, p)
 		}
 		if all {
-			return true
+			last = line
 		}
 	}
-	return false
+	return last
+}
+
+// holds reports whether the log of a machine says that it holds a tenant's cap.
+func (m *machine) holds(name string) bool {
+	return m.lastLine("owning rate", "account="+name+" ") != ""
 }
 
+// leads reports whether the log of a machine says that it leads its zone.
+func (m *machine) leads() bool { return strings.Contains(m.lastLine("event=leading"), "leads=true") }
+
 // awaitReady waits until all machines are ready.
 func (s *site) awaitReady() error {
 	for until := time.Now().Add(readyLimit); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
--- a/review/rig/quota.go
+++ b/review/rig/quota.go
@@ -123,7 +123,7 @@
 // killHolder kills the process that holds the tenant's cap, and starts it again.
 func killHolder(s *site) error {
 	for _, m := range s.machines {
-		if m.logged("owning rate", tenant) {
+		if m.holds(tenant) {
 			s.record.note("platform: SIGKILL to %s", m.ip)
 			<-m.signal(syscall.SIGKILL, true)
 			time.Sleep(restartDelay)
