--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -31,15 +31,15 @@
 }
 
 // send sends one request to a machine. It does not wait for the answer.
-func (c *client) send(m *machine, method, path, key string) {
+func (c *client) send(m *machine, path, key string) {
 	c.mu.Lock()
 	c.n++
 	id := fmt.Sprintf("%08x%08x", c.n, time.Now().UnixNano()&0xffffffff)
 	c.mu.Unlock()
-	c.wait.Go(func() { c.exchange(m, method, path, key, id) })
+	c.wait.Go(func() { c.exchange(m, path, key, id) })
 }
 
-func (c *client) exchange(m *machine, method, path, key, id string) {
+func (c *client) exchange(m *machine, path, key, id string) {
 	ctx, cancel := context.WithTimeout(context.Background(), c.limit)
 	defer cancel()
 	a := answer{id: id, machine: m.ip}
@@ -50,7 +50,7 @@
 			c.answered(a)
 		}
 	}()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+m.address()+path, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.address()+path, nil)
 	if err != nil {
 		a.text = err.Error()
 		return
@@ -78,10 +78,10 @@
 }
 
 // load sends requests at an even rate, to the machines in turn, until the function returns false.
-func (c *client) load(rate float64, ms []*machine, method, path, key string, goOn func() bool) {
+func (c *client) load(rate float64, ms []*machine, path, key string, goOn func() bool) {
 	began := time.Now()
 	for i := 0; goOn(); i++ {
 		time.Sleep(time.Until(began.Add(time.Duration(float64(i) / rate * float64(time.Second)))))
-		c.send(ms[i%len(ms)], method, path, key)
+		c.send(ms[i%len(ms)], path, key)
 	}
 }
--- a/review/rig/crowd.go
+++ b/review/rig/crowd.go
@@ -82,12 +82,12 @@
 	s.site.descriptors = descriptors
 	s.site.publish(s.resources()...)
 	for n := range 12 {
-		if _, err := s.site.addInstance(fmt.Sprintf("i-%08x", 0x7f3a91c2+n), n, crowdWork); err != nil {
+		if err := s.site.addInstance(fmt.Sprintf("i-%08x", 0x7f3a91c2+n), n, crowdWork); err != nil {
 			return false, err
 		}
 	}
 	for n := range 12 {
-		if _, err := s.site.addMachine(n); err != nil {
+		if err := s.site.addMachine(n); err != nil {
 			return false, err
 		}
 	}
@@ -113,9 +113,9 @@
 	return s.judge(), nil
 }
 
-// disturb lets all machines but one lose power, and lets them come back while all clients are at that one.
-func (s *starved) disturb(trouble bool, g *sync.WaitGroup) error {
-	// The machine that is left holds the caps of few tenants and does not lead its zone, so that the others show what is usual.
+// chooseLeft returns the machine that is left: it holds the caps of few tenants and does not lead its zone, so that the others show
+// what is usual. It is nil if there is none.
+func (s *starved) chooseLeft() *machine {
 	var left *machine
 	fewest := 0
 	for _, m := range s.site.machines {
@@ -129,6 +129,12 @@
 			left, fewest = m, held
 		}
 	}
+	return left
+}
+
+// disturb lets all machines but one lose power, and lets them come back while all clients are at that one.
+func (s *starved) disturb(trouble bool, g *sync.WaitGroup) error {
+	left := s.chooseLeft()
 	if left == nil {
 		return errors.New("no machine that leads no zone holds a tenant's cap")
 	}
@@ -140,7 +146,7 @@
 	var ended []<-chan struct{}
 	for _, m := range s.site.machines {
 		if m != left {
-			ended = append(ended, m.signal(syscall.SIGKILL, true))
+			ended = append(ended, m.kill())
 		}
 	}
 	for _, e := range ended {
@@ -253,7 +259,7 @@
 			}
 		}
 	}
-	c.load(perTenant, s.site.machines, "GET", "/lookup/"+name, "key-"+name, func() bool {
+	c.load(perTenant, s.site.machines, "/lookup/"+name, "key-"+name, func() bool {
 		select {
 		case <-stop:
 			return false
--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -114,11 +114,11 @@
 }
 
 // addMachine writes the settings of a machine and starts its process.
-func (s *site) addMachine(n int) (*machine, error) {
+func (s *site) addMachine(n int) error {
 	m := &machine{ip: fmt.Sprintf("127.0.9.%d", n+1), descriptors: s.descriptors}
 	first, err := freePorts(m.ip, 19)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	m.front, m.readiness, m.directory, m.internal = first, first+1, first+2, first+3
 	zone := s.zones[n%len(s.zones)]
@@ -141,14 +141,14 @@
 	}
 	b, err := json.MarshalIndent(f, "", "  ")
 	if err != nil {
-		return nil, errors.Wrap(err, "encode settings")
+		return errors.Wrap(err, "encode settings")
 	}
 	m.settings, m.log = filepath.Join(s.work, fmt.Sprintf("front-%d.json", n+1)), filepath.Join(s.work, fmt.Sprintf("front-%d.log", n+1))
 	if err := os.WriteFile(m.settings, b, 0o600); err != nil {
-		return nil, errors.Wrap(err, "write settings")
+		return errors.Wrap(err, "write settings")
 	}
 	s.machines = append(s.machines, m)
-	return m, m.start()
+	return m.start()
 }
 
 // start starts the process of a machine with the command of the deploy file.
@@ -183,12 +183,12 @@
 	return nil
 }
 
-// signal sends a signal to the process of a machine. If ends is set, the process is expected to end.
-func (m *machine) signal(sig syscall.Signal, ends bool) <-chan struct{} {
+// kill sends SIGKILL to the process of a machine, and returns a channel that is closed when it has ended.
+func (m *machine) kill() <-chan struct{} {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.ending = m.ending || ends
-	_ = m.process.Process.Signal(sig) // It may have ended.
+	m.ending = true
+	_ = m.process.Process.Signal(syscall.SIGKILL) // It may have ended.
 	return m.exited
 }
 
@@ -248,7 +248,7 @@
 	s.stopOnce.Do(func() { close(s.stopped) })
 	for _, m := range s.machines {
 		if m.process != nil {
-			<-m.signal(syscall.SIGKILL, true)
+			<-m.kill()
 		}
 	}
 }
@@ -270,8 +270,8 @@
 	}
 }
 
-// publish writes a configuration with the next version, and returns when the store accepted it.
-func (s *site) publish(resources ...map[string]any) time.Time {
+// publish writes a configuration with the next version.
+func (s *site) publish(resources ...map[string]any) {
 	s.mu.Lock()
 	s.version += 3
 	v := s.version
@@ -282,5 +282,4 @@
 	}
 	s.store.Put(topicOp, "config", b)
 	s.record.note("operator: version %d is acknowledged", v)
-	return time.Now()
 }
--- a/review/rig/instance.go
+++ b/review/rig/instance.go
@@ -29,10 +29,10 @@
 }
 
 // addInstance starts an instance that works on each request for the given time, and registers it.
-func (s *site) addInstance(id string, n int, work time.Duration) (*instance, error) {
+func (s *site) addInstance(id string, n int, work time.Duration) error {
 	e, err := emulator.NewInstance(id)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	i := &instance{Instance: e, site: s, zone: s.zones[n%len(s.zones)], born: time.Now(), state: "ready", registered: true}
 	e.SetIdleTimeout(10 * time.Second)
@@ -51,7 +51,7 @@
 			}
 		}
 	}()
-	return i, nil
+	return nil
 }
 
 // answerAfter lets the instance answer each request after some work.
--- a/review/rig/odd.go
+++ b/review/rig/odd.go
@@ -30,12 +30,12 @@
 	q := quota{rate: o.rate, burst: o.burst}
 	s.publish(q.resources(o.rate, o.burst, oddTenants...)...)
 	for n := range 6 {
-		if _, err := s.addInstance(fmt.Sprintf("i-%08x", 0x7f3a91c2+n), n, 5*time.Millisecond); err != nil {
+		if err := s.addInstance(fmt.Sprintf("i-%08x", 0x7f3a91c2+n), n, 5*time.Millisecond); err != nil {
 			return false, err
 		}
 	}
 	for n := range o.machines {
-		if _, err := s.addMachine(n); err != nil {
+		if err := s.addMachine(n); err != nil {
 			return false, err
 		}
 	}
@@ -47,7 +47,7 @@
 	until := time.Now().Add(6*time.Second + 3*heartbeat + oddWait + oddWatch)
 	for _, t := range oddTenants {
 		g.Go(func() {
-			c.load(o.offered, s.machines, "GET", "/lookup/1", "key-"+t, func() bool { return time.Now().Before(until) })
+			c.load(o.offered, s.machines, "/lookup/1", "key-"+t, func() bool { return time.Now().Before(until) })
 		})
 	}
 	time.Sleep(6 * time.Second)
--- a/review/rig/quota.go
+++ b/review/rig/quota.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -50,12 +49,12 @@
 func (q quota) play(s *site, trouble bool) (broken bool, err error) {
 	s.publish(q.resources(q.rate, q.burst)...)
 	for n := range 6 {
-		if _, err := s.addInstance(fmt.Sprintf("i-%08x", 0x7f3a91c2+n), n, 5*time.Millisecond); err != nil {
+		if err := s.addInstance(fmt.Sprintf("i-%08x", 0x7f3a91c2+n), n, 5*time.Millisecond); err != nil {
 			return false, err
 		}
 	}
 	for n := range q.machines {
-		if _, err := s.addMachine(n); err != nil {
+		if err := s.addMachine(n); err != nil {
 			return false, err
 		}
 	}
@@ -65,12 +64,12 @@
 	c := newClient(s.record, 5*time.Second)
 	// The tenant sends little at first, so that all know the holder of its cap.
 	until := time.Now().Add(steady)
-	c.load(4, s.machines, "GET", "/lookup/1", tenantKey, func() bool { return time.Now().Before(until) })
+	c.load(4, s.machines, "/lookup/1", tenantKey, func() bool { return time.Now().Before(until) })
 	until = time.Now().Add(pressure)
 	s.record.note("client: the tenant begins to press")
 	var g sync.WaitGroup
 	g.Go(func() {
-		c.load(q.offered, s.machines, "GET", "/lookup/1", tenantKey, func() bool { return time.Now().Before(until) })
+		c.load(q.offered, s.machines, "/lookup/1", tenantKey, func() bool { return time.Now().Before(until) })
 	})
 	time.Sleep(q.after)
 	if trouble {
@@ -125,7 +124,7 @@
 	for _, m := range s.machines {
 		if m.holds(tenant) {
 			s.record.note("platform: SIGKILL to %s", m.ip)
-			<-m.signal(syscall.SIGKILL, true)
+			<-m.kill()
 			time.Sleep(restartDelay)
 			s.record.note("platform: %s is started again", m.ip)
 			return m.start()
@@ -139,7 +138,7 @@
 	s.record.note("platform: SIGKILL to all machines")
 	var ended []<-chan struct{}
 	for _, m := range s.machines {
-		ended = append(ended, m.signal(syscall.SIGKILL, true))
+		ended = append(ended, m.kill())
 	}
 	for _, e := range ended {
 		<-e
--- a/review/rig/record.go
+++ b/review/rig/record.go
@@ -63,17 +63,6 @@
 	r.runs = append(r.runs, x)
 }
 
-// statuses counts the answers by status; 0 stands for none.
-func (r *record) statuses() map[int]int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	n := map[int]int{}
-	for _, a := range r.done {
-		n[a.status]++
-	}
-	return n
-}
-
 // write writes all to a file, in order of time.
 func (r *record) write(path string) error {
 	r.mu.Lock()
