forwarder: an end behind a failed write is no proof of a whole answer

What callers saw: an instance answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection. The caller got the part as a complete answer.

Cause: the kernel reports the failure of a connection only once. While an upload is written, the write may take the ECONNRESET of the reset, and the read behind it returns 0, which is an end. A body without a length ends with its connection, so the part looked whole. roundTrip used the error of the write only to decide whether the connection is reused.

Change: the connections of the forwarder are read through CheckEnds. If a write has failed or is running when a read returns io.EOF, the end counts only if TCP_INFO shows that the peer has ended the connection and not reset it (TCP_CLOSE_WAIT).

Why it works: an error is lost to a read only if a write has taken it, and that write is still running or has noted its failure before it ended. A connection in TCP_CLOSE_WAIT has had no reset, so its end is the peer's. Nothing waits: the state is read once, and only in this case. An answer that ends in order before its upload was read is whole as before; one that is reset behind its end before that was seen is refused, as the state no longer tells the two apart.

--- a/cmd/standin/emulator/instance.go
+++ b/cmd/standin/emulator/instance.go
@@ -399,6 +399,12 @@
 	_ = c.Close()
 }
 
+// ResetPart executes the request, sends a part of its answer without a length, and resets the connection.
+func ResetPart(c net.Conn, r *http.Request, i *Instance) {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Signature: s\r\n\r\n%s", r.Header.Get("Request-Id"), i.Body[:len(i.Body)/2])
+	Reset(c, r, i)
+}
+
 // CutHead returns a behavior that executes the request, and closes the connection after a part of the head of its response
 // whose length the function picks.
 func CutHead(pick func(n int) int) Behavior {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -209,8 +209,9 @@
 		return nil, errors.Wrap(err, "connect")
 	}
 	f.pool.opened.Add(1)
-	in := &boundedReader{r: nc}
-	return &conn{Conn: nc, to: addr, in: in, r: bufio.NewReaderSize(in, readBufferSize), openTime: f.clock.Since(began)}, nil
+	checked := CheckEnds(nc)
+	in := &boundedReader{r: checked}
+	return &conn{Conn: checked, socket: nc.(*net.TCPConn), to: addr, in: in, r: bufio.NewReaderSize(in, readBufferSize), openTime: f.clock.Since(began)}, nil
 }
 
 // readBufferSize is the size of the read buffer of a connection, in bytes.
@@ -248,8 +249,8 @@
 // abort closes the connection of a request that was canceled. While the instance does not read a long body, the end of the
 // connection would wait behind it; a reset does not.
 func (c *conn) abort(r Request) {
-	if t, ok := c.Conn.(*net.TCPConn); ok && !r.sequential() {
-		_ = t.SetLinger(0) // If it fails, the end waits.
+	if !r.sequential() {
+		_ = c.socket.SetLinger(0) // If it fails, the end waits.
 	}
 	_ = c.Close()
 }
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -25,6 +25,8 @@
 // conn is a connection to a backend server; it carries one request at a time.
 type conn struct {
 	net.Conn
+	// socket is the connection without the checks of its ends.
+	socket   *net.TCPConn
 	to       netip.AddrPort
 	in       *boundedReader
 	r        *bufio.Reader
@@ -148,11 +150,10 @@
 
 // usable reports whether an idle connection is open and has no unread bytes, which would belong to no request.
 func (c *conn) usable() bool {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok || c.r.Buffered() > 0 {
+	if c.r.Buffered() > 0 {
 		return false
 	}
-	raw, err := sc.SyscallConn()
+	raw, err := c.socket.SyscallConn()
 	if err != nil {
 		return false
 	}
