forwarder, dispatcher: an answer with an invalid field name is none

What callers saw: an answer in whose head the name of a field had a blank, before the colon or within it, was handed on, and if the name was meant as that of a length or of chunks, with a body that was not the instance's. The same in a head of 1xx, in the head of an answer to another request that is skipped, in a refusal, and in what an instance states of itself. In `serve` a health check with such a head drained the backend server or called it unhealthy, and a body that was not seen failed the next request on the connection.

Cause: net/http refuses tabs, NUL, DEL, CR, other control bytes and what is no ASCII in a name, but takes blanks and keeps such a name as it is. So "Content-Length : 3" is a field of its own that says nothing of the length.

At a VM and in `serve` callers got a 200 for "X-Secret : v".

Change: CheckFieldNames says which names there are (httpguts, RFC 9110, section 5.1), CheckHead adds the status; all who read responses call it before they believe anything of the head. CheckInterim is the same for interim responses that http.Transport reads. Such bytes are handled as those without a status: the request may have run, nothing behind them is read, the connection is closed. `serve` also checks what it writes to a caller, as an older dispatcher or a record may pass on such an answer.

Why it works: a head is refused as a whole, before its length, its ID or its statements are used, wherever a blank is in a name.

--- a/cmd/standin/emulator/instance.go
+++ b/cmd/standin/emulator/instance.go
@@ -425,6 +425,13 @@
 	}
 }
 
+// WithField returns a behavior that executes the request and responds with a further line in the head.
+func WithField(line string) Behavior {
+	return func(c net.Conn, r *http.Request, i *Instance) {
+		writeLast(c, responseHead(r.Header.Get("Request-Id"), http.StatusOK, line+"\r\n", i.Body)+i.Body)
+	}
+}
+
 // AnswerTwice sends the response and then a duplicate of it on the same connection.
 func AnswerTwice(c net.Conn, r *http.Request, i *Instance) {
 	Answer(c, r, i)
--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -44,8 +44,8 @@
 
 // respond reports the answer to the Observer and writes it to the caller.
 func (x *exchange) respond(a dispatcher.Answer) error {
-	if a.Outcome == dispatcher.OutcomeAnswered && !forwarder.IsFinal(a.Status) {
-		a = withoutStatus(a)
+	if a.Outcome == dispatcher.OutcomeAnswered {
+		a = checked(a)
 	}
 	if a.Status == 0 {
 		a.Status = reasonStatuses[a.Reason]
@@ -63,12 +63,19 @@
 	return x.writeResponse(a)
 }
 
-// withoutStatus replaces an answer whose status no response can have, as an older dispatcher or a record may pass on.
-func withoutStatus(a dispatcher.Answer) dispatcher.Answer {
+// checked replaces an answer whose head no response can have, as an older dispatcher or a record may pass on.
+func checked(a dispatcher.Answer) dispatcher.Answer {
+	err := forwarder.CheckFieldNames(a.Header)
+	if !forwarder.IsFinal(a.Status) {
+		err = forwarder.ErrNoStatus
+	}
+	if err == nil {
+		return a
+	}
 	if a.Rest != nil {
 		_ = a.Rest.Close()
 	}
-	return dispatcher.Answer{Outcome: dispatcher.OutcomeUnknown, Reason: dispatcher.ReasonFailed, Detail: forwarder.ErrNoStatus.Error()}
+	return dispatcher.Answer{Outcome: dispatcher.OutcomeUnknown, Reason: dispatcher.ReasonFailed, Detail: err.Error()}
 }
 
 // refusalBody is the JSON body of a response to a refused request.
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -113,6 +113,20 @@
 	}
 }
 
+// An answer with a name that no field can have may be a record of an older daemon; its body need not be the backend server's.
+func TestAnswerWithAnInvalidFieldNameIsNotWritten(t *testing.T) {
+	for _, name := range []string{"X-A ", "X A", "Content-Length ", "X-A\t", "X-A\x00"} {
+		f := newFixture(t)
+		f.answer = func(dispatcher.Request) dispatcher.Answer {
+			return dispatcher.Answer{Outcome: dispatcher.OutcomeAnswered, Status: http.StatusOK, Header: http.Header{name: {"1"}}, Body: []byte("text")}
+		}
+		r, body := f.do(t, http.MethodPost, "/t/x", "hello")
+		require.Equal(t, http.StatusBadGateway, r.StatusCode, "%q", name)
+		require.Equal(t, dispatcher.OutcomeUnknown.String(), r.Header.Get(caller.HeaderOutcome))
+		require.NotContains(t, body, "text")
+	}
+}
+
 func (f *fixture) do(t *testing.T, method, path, body string, headers ...string) (*http.Response, string) {
 	t.Helper()
 	req, err := http.NewRequest(method, f.URL+path, strings.NewReader(body))
--- a/internal/dispatcher/backend.go
+++ b/internal/dispatcher/backend.go
@@ -128,7 +128,7 @@
 }
 
 func (t *trace) hooks() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+	return &httptrace.ClientTrace{Got1xxResponse: forwarder.CheckInterim, GotConn: func(i httptrace.GotConnInfo) {
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		t.conn, _ = i.Conn.(*meteredConn)
@@ -175,7 +175,7 @@
 	a, err := b.receive(r, resp)
 	if err != nil {
 		_ = resp.Body.Close()
-		if errors.Is(err, forwarder.ErrNoStatus) {
+		if forwarder.IsNoResponse(err) {
 			b.discardConn(&t)
 		}
 		if errors.Is(err, errNotStarted) {
@@ -206,12 +206,12 @@
 // receive checks a response and reads its body into memory. If the body is longer than MaxBufferedBody, the remainder
 // is left to the reader of Rest.
 func (b *backend) receive(r Request, resp *http.Response) (Answer, error) {
+	if err := forwarder.CheckHead(resp); err != nil {
+		return Answer{}, err
+	}
 	if forwarder.Spliced(resp) {
 		return Answer{}, errSpliced
 	}
-	if err := forwarder.CheckStatus(resp); err != nil {
-		return Answer{}, err
-	}
 	id := resp.Header.Get(HeaderRequestID)
 	if id == r.ID {
 		b.echoesIDs.Store(true)
@@ -271,7 +271,7 @@
 		return false, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if err := forwarder.CheckStatus(resp); err != nil {
+	if err := forwarder.CheckHead(resp); err != nil {
 		b.discardConn(&t)
 		return false, err
 	}
--- a/internal/dispatcher/backend_test.go
+++ b/internal/dispatcher/backend_test.go
@@ -179,6 +179,75 @@
 	require.EqualValues(t, 2, opened.Load())
 }
 
+// answersWithFieldName returns responses whose heads have a field of a valid name and of one derived from it by broken.
+func answersWithFieldName(broken func(name string) string) map[string]string {
+	const (
+		head = "HTTP/1.1 200 OK\r\n" + HeaderRequestID + ": ID\r\n"
+		own  = head + "Content-Length: 3\r\n\r\nown"
+	)
+	field, length, chunked := broken("X-Field")+": v\r\n", broken("Content-Length")+": 3\r\n", broken("Transfer-Encoding")+": chunked\r\n"
+	return map[string]string{
+		"length":          head + field + "Content-Length: 3\r\n\r\nown",
+		"chunked":         head + field + "Transfer-Encoding: chunked\r\n\r\n3\r\nown\r\n0\r\n\r\n",
+		"other length":    head + "Content-Length: 1\r\n" + length + "\r\nown",
+		"chunks, length":  head + "Content-Length: 5\r\n" + chunked + "\r\n3\r\nown\r\n0\r\n\r\n",
+		"no body":         strings.Replace(head, "200", "204", 1) + field + "\r\n",
+		"hidden ID":       "HTTP/1.1 200 OK\r\n" + broken(HeaderRequestID) + ": ID\r\nContent-Length: 3\r\n\r\nown",
+		"refusal":         strings.Replace(head, "200", "503", 1) + HeaderState + ": " + stateShedding + "\r\n" + field + "Content-Length: 0\r\n\r\n",
+		"draining":        head + HeaderState + ": " + stateDraining + "\r\n" + field + "Content-Length: 0\r\n\r\n",
+		"unhealthy":       strings.Replace(head, "200", "500", 1) + field + "Content-Length: 0\r\n\r\n",
+		"interim":         "HTTP/1.1 103 X\r\n" + field + "\r\n" + own,
+		"interim, length": "HTTP/1.1 100 X\r\n" + length + "\r\n" + own,
+	}
+}
+
+// A response with a name that no field can have must be no answer, nor what follows it, nor say how the backend server is.
+func TestAnswerWithAnInvalidFieldNameIsNoAnswer(t *testing.T) {
+	const first = "HTTP/1.1 200 OK\r\n" + HeaderRequestID + ": ID\r\nContent-Length: 0\r\n\r\n"
+	var passed []string
+	forms := 0
+	for _, invalid := range []string{" ", "  ", "\t", "\x00", "\x01", "\r", "\x7f", "é"} {
+		for where, broken := range map[string]func(string) string{
+			"at the end": func(name string) string { return name + invalid },
+			"within":     func(name string) string { return name[:3] + invalid + name[3:] },
+		} {
+			for name, answer := range answersWithFieldName(broken) {
+				for _, kept := range []bool{false, true} {
+					forms++
+					what, script := fmt.Sprintf("%q %s, %s, kept %v", invalid, where, name, kept), []string{answer}
+					if kept {
+						script = []string{first, answer}
+					}
+					a, opened := newScriptedServer(t, script...)
+					b := newBackend(a)
+					send := func(method, id string) error {
+						_, err := b.send(t.Context(), Request{ID: id, Method: method, Target: "/"})
+						return err
+					}
+					for n, method := range []string{http.MethodPost, http.MethodHead} {
+						if kept && send(http.MethodPost, fmt.Sprint("first", n)) != nil {
+							passed = append(passed, what+" and the next request failed")
+						}
+						err := send(method, fmt.Sprint("second", n))
+						if err == nil || errors.Is(err, errNotStarted) || opened.Load() != int32(n+1) {
+							passed = append(passed, what+" "+method)
+						}
+					}
+					if kept && send(http.MethodPost, "third") != nil {
+						passed = append(passed, what+" and the next request failed")
+					}
+					draining, err := b.probe(t.Context(), "/health")
+					if err == nil || draining || errors.Is(err, errUnhealthy) {
+						passed = append(passed, what+" probe")
+					}
+					b.close()
+				}
+			}
+		}
+	}
+	require.Empty(t, passed, "%d checks failed in %d forms", len(passed), forms)
+}
+
 // newScriptedServer starts a backend server that writes the same bytes for the nth request of a connection on every connection.
 func newScriptedServer(t *testing.T, script ...string) (a netip.AddrPort, opened *atomic.Int32) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/follower/log.go
+++ b/internal/follower/log.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"time"
@@ -89,12 +90,13 @@
 
 // Fetch sends a request to the platform and decodes the JSON response into to. A status other than 200 is an error.
 func Fetch(client *http.Client, req *http.Request, to any) error {
-	rep, err := client.Do(req)
+	trace := &httptrace.ClientTrace{Got1xxResponse: forwarder.CheckInterim}
+	rep, err := client.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
 		return err
 	}
 	defer func() { _ = rep.Body.Close() }()
-	if err := forwarder.CheckStatus(rep); err != nil {
+	if err := forwarder.CheckHead(rep); err != nil {
 		_ = rep.Body.Close()
 		client.CloseIdleConnections()
 		return err
--- a/internal/follower/log_test.go
+++ b/internal/follower/log_test.go
@@ -15,6 +15,17 @@
 
 // What has no valid status is no response of the log service, and what follows it on its connection is none either.
 func TestResponseOfTheLogServiceWithoutStatusIsNotUsed(t *testing.T) {
+	testNoResponseIsUsed(t, "HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n", forwarder.ErrNoStatus)
+}
+
+// What has a name that no field can have is no response of the log service either.
+func TestResponseOfTheLogServiceWithAnInvalidFieldNameIsNotUsed(t *testing.T) {
+	testNoResponseIsUsed(t, "HTTP/1.1 204 X\r\nContent-Length : 12\r\n\r\n", forwarder.ErrFieldName)
+	testNoResponseIsUsed(t, "HTTP/1.1 103 X\r\nX A: v\r\n\r\n", forwarder.ErrFieldName)
+}
+
+// testNoResponseIsUsed checks that neither a head with a given error nor the response behind it is used.
+func testNoResponseIsUsed(t *testing.T, head string, want error) {
 	var calls atomic.Int32
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		if calls.Add(1) > 1 {
@@ -23,7 +34,7 @@
 		}
 		c, _, err := http.NewResponseController(w).Hijack()
 		if err == nil {
-			_, _ = fmt.Fprint(c, "HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n{\"offset\":7}")
+			_, _ = fmt.Fprint(c, head+"HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n{\"offset\":7}")
 		}
 	}))
 	t.Cleanup(s.Close)
@@ -36,7 +47,7 @@
 		require.NoError(t, err)
 		return follower.Fetch(client, req, &a)
 	}
-	require.ErrorIs(t, get(), forwarder.ErrNoStatus)
+	require.ErrorIs(t, get(), want)
 	require.NoError(t, get())
 	require.EqualValues(t, 1, a.Offset)
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -317,6 +317,9 @@
 		if err != nil {
 			return Response{}, errors.Wrap(err, "answer")
 		}
+		if err := CheckFieldNames(httpResp.Header); err != nil {
+			return Response{}, err
+		}
 		if Spliced(httpResp) {
 			return Response{}, errors.New("the answer begins with a part of another one")
 		}
--- a/internal/forwarder/status_test.go
+++ b/internal/forwarder/status_test.go
@@ -79,7 +79,7 @@
 	}
 }
 
-// FuzzReadResponse checks that what is returned for any bytes has a status that a caller may get.
+// FuzzReadResponse checks that what is returned for any bytes has a head that a caller may get.
 func FuzzReadResponse(f *testing.F) {
 	for _, status := range append(invalidStatuses, "100", "103", "200", "503") {
 		for _, r := range []string{"", "text", answerTo("2", "other")} {
@@ -87,10 +87,14 @@
 			f.Add([]byte("HTTP/1.1 " + status + " X\r\n\r\n" + r))
 		}
 	}
+	for _, name := range brokenNames("X-Field") {
+		f.Add([]byte("HTTP/1.1 200 X\r\nRequest-Id: 2\r\n" + name + ": v\r\nContent-Length: 3\r\n\r\nown"))
+	}
 	f.Fuzz(func(t *testing.T, b []byte) {
 		resp, err := sendTo(t, newForwarder(), newScriptedInstance(t, string(b)), "2")
 		if err == nil {
 			require.True(t, forwarder.IsFinal(resp.Status), resp.Status)
+			require.NoError(t, forwarder.CheckFieldNames(resp.Header))
 			require.NoError(t, resp.Close())
 		}
 	})
--- a/internal/server/cluster_test.go
+++ b/internal/server/cluster_test.go
@@ -116,8 +116,8 @@
 	workTime atomic.Int64
 	// finished and dropped count the requests that the backend server worked on to the end, and those whose connection closed before.
 	finished, dropped atomic.Int64
-	// status is a status that the backend server writes instead of its own.
-	status   atomic.Value
+	// head is the beginning of the head that the backend server writes instead of its own.
+	head     atomic.Value
 	received bytes.Buffer
 	logs     bytes.Buffer
 	mu       sync.Mutex
@@ -167,8 +167,8 @@
 	c.mu.Unlock()
 	n, _ := c.runs.LoadOrStore(r.Header.Get("X-Job"), new(atomic.Int64))
 	n.(*atomic.Int64).Add(1)
-	if s, _ := c.status.Load().(string); s != "" {
-		respondWithStatus(w, r, s)
+	if s, _ := c.head.Load().(string); s != "" {
+		respondWithHead(w, r, s)
 		return
 	}
 	select {
@@ -181,8 +181,8 @@
 	_, _ = io.WriteString(w, "job "+r.Header.Get("X-Job"))
 }
 
-// respondWithStatus writes a response with a status that need not be one.
-func respondWithStatus(w http.ResponseWriter, r *http.Request, status string) {
+// respondWithHead writes a response whose head has a beginning that need not be valid.
+func respondWithHead(w http.ResponseWriter, r *http.Request, head string) {
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
@@ -190,7 +190,7 @@
 	defer func() { _ = conn.Close() }()
 	id := dispatcher.HeaderRequestID + ": " + r.Header.Get(dispatcher.HeaderRequestID) + "\r\n"
 	body := "HTTP/1.1 200 OK\r\n" + id + "Content-Length: 5\r\n\r\ninner"
-	_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s X\r\n%sContent-Length: %d\r\n\r\n%s", status, id, len(body), body)
+	_, _ = fmt.Fprintf(conn, "%s%sContent-Length: %d\r\n\r\n%s", head, id, len(body), body)
 }
 
 // Write collects the daemons' log output.
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -62,7 +62,7 @@
 func TestResponsesWithoutStatusReachNoCaller(t *testing.T) {
 	c := newCluster(t, 3)
 	for i, status := range []string{"000", "001", "099", "101", "600", "999"} {
-		c.status.Store(status)
+		c.head.Store("HTTP/1.1 " + status + " X\r\n")
 		job := "status-" + status
 		r, err := c.send(i%3, http.MethodPost, "/t/post/x", "X-Job", job)
 		require.NoError(t, err)
@@ -78,6 +78,27 @@
 	}
 }
 
+// A response with a name that no field can have is no answer, and the request may have run.
+func TestResponsesWithAnInvalidFieldNameReachNoCaller(t *testing.T) {
+	c := newCluster(t, 3)
+	for i, field := range []string{"X-Secret : v", "X Secret: v", "X-Secret\t: v", "X-Secret\x00: v", "X-Secret\x7f: v", "X-Secret\r: v"} {
+		for n, line := range []string{"HTTP/1.1 200 X\r\n", "HTTP/1.1 103 X\r\n"} {
+			c.head.Store(line + field + "\r\n")
+			job := fmt.Sprint("field-", i, "-", n)
+			r, err := c.send(i%3, http.MethodPost, "/t/post/x", "X-Job", job)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusBadGateway, r.status, "%q: %s", field, r.body)
+			require.Equal(t, "unknown", r.outcome)
+			require.NotContains(t, r.body, "inner")
+			runs, _ := c.runs.Load(job)
+			require.EqualValues(t, 1, runs.(*atomic.Int64).Load())
+			r, err = c.send(i%3, http.MethodGet, "/t/get/x")
+			require.NoError(t, err)
+			require.NotEqual(t, http.StatusOK, r.status, "%q: %s", field, r.body)
+		}
+	}
+}
+
 // TestHTTP2 checks that callers can use unencrypted HTTP/2.
 func TestHTTP2(t *testing.T) {
 	c := newCluster(t, 1)
