dispatcher: TestNoConnectionIsNotRun does not depend on a port staying unused

What was seen: the test failed once in a run of all of internal/, with the outcome "answered".

Cause: it closed the listener of its backend server and took it that nobody answers there. The tests of the forwarder, which run beside it, open a listener for each of some thousand responses and got the port.

Change: the backend server's port stays bound by a socket that does not listen, so connections are refused and no other server gets it. The check is the same: a request that finds no connection has not run. The forms of TestAnswerWithAnInvalidFieldNameIsNoAnswer share one listener.

--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -18,6 +19,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 
 	"github.com/jacinthproxy/jacinthproxy/internal/dispatcher"
 	"github.com/jacinthproxy/jacinthproxy/pkg/asserter"
@@ -225,9 +227,30 @@
 	require.Equal(t, dispatcher.OutcomeNotRun, f.run(request(false)).Outcome)
 }
 
+// refusingListener has an address that refuses connections.
+type refusingListener struct {
+	net.Listener
+	address net.Addr
+}
+
+// Addr implements net.Listener.
+func (l refusingListener) Addr() net.Addr { return l.address }
+
+// newRefusingBackend returns a backend server whose port is bound, so that no other server gets it, but not listened on.
+func newRefusingBackend(t *testing.T) *httptest.Server {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = unix.Close(fd) })
+	require.NoError(t, unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	name, err := unix.Getsockname(fd)
+	require.NoError(t, err)
+	a := name.(*unix.SockaddrInet4)
+	return &httptest.Server{Listener: refusingListener{address: &net.TCPAddr{IP: a.Addr[:], Port: a.Port}}}
+}
+
 func TestNoConnectionIsNotRun(t *testing.T) {
 	f := newFixture(t, healthy)
-	f.backends[0].Close()
+	f.publish([]*httptest.Server{newRefusingBackend(t)}, "")
 	require.Equal(t, dispatcher.OutcomeNotRun, f.run(request(false)).Outcome)
 }
 
--- a/internal/forwarder/copies_test.go
+++ b/internal/forwarder/copies_test.go
@@ -19,6 +19,11 @@
 
 // newScriptedInstance starts an instance that writes the same bytes for the nth request of a connection on every connection.
 func newScriptedInstance(t *testing.T, script ...string) netip.AddrPort {
+	return newInstanceWithScripts(t, func() []string { return script })
+}
+
+// newInstanceWithScripts is newScriptedInstance with a script that may differ for each connection.
+func newInstanceWithScripts(t *testing.T, next func() []string) netip.AddrPort {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
@@ -31,7 +36,7 @@
 			go func() {
 				defer func() { _ = c.Close() }()
 				r := bufio.NewReader(c)
-				for _, s := range script {
+				for _, s := range next() {
 					req, err := http.ReadRequest(r)
 					if err != nil {
 						return
--- a/internal/forwarder/field_test.go
+++ b/internal/forwarder/field_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -60,18 +61,17 @@
 // An answer with a name that no field can have must not be the answer, nor may what follows it be, nor does it state anything.
 func TestAnswerWithAnInvalidFieldNameIsNoAnswer(t *testing.T) {
 	var passed []string
-	forms := 0
+	var script atomic.Pointer[[]string]
+	forms, a := 0, newInstanceWithScripts(t, func() []string { return *script.Load() })
 	for what := range brokenNames("X-Field") {
 		for name, answer := range answersWithFieldName(func(name string) string { return brokenNames(name)[what] }) {
 			for _, method := range []string{http.MethodPost, http.MethodHead} {
 				for _, kept := range []bool{false, true} {
 					forms++
-					f, script := newForwarder(), []string{answer}
-					if kept {
-						script = []string{answerTo("1", "first"), answer}
-					}
-					a := newScriptedInstance(t, script...)
+					f := newForwarder()
+					script.Store(&[]string{answer})
 					if kept {
+						script.Store(&[]string{answerTo("1", "first"), answer})
 						_, err := sendTo(t, f, a, "1")
 						require.NoError(t, err)
 					}
