forwarder, dispatcher: errors that callers see do not quote an answer

What callers saw: for an answer whose head net/http refuses, the text of the 502 had the refused line, such as `malformed MIME header line: "X-Secret\t: v"`; in `serve` the same in "detail". On a connection in use again the line may be of another caller's answer.

Cause: net/http quotes what it could not read, and the error became the detail of the refusal.

Change: HideQuotes replaces an error of reading a response that quotes by "the answer is malformed"; the cause stays in the chain. A VM logs it in the field "quoted" of "attempt failed", cut to 200 bytes, as operators need it to find the instance's fault.

Why it works: net/http quotes with %q in all its errors of reading a response, and errors of the network have no quotation marks.

--- a/internal/dispatcher/backend.go
+++ b/internal/dispatcher/backend.go
@@ -170,7 +170,7 @@
 	}
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
-		return Answer{}, b.classify(ctx, &t, err)
+		return Answer{}, b.classify(ctx, &t, forwarder.HideQuotes(err))
 	}
 	a, err := b.receive(r, resp)
 	if err != nil {
@@ -227,7 +227,7 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxBufferedBody+1))
 	if err != nil {
-		return Answer{}, errors.Wrap(err, "answer cut")
+		return Answer{}, errors.Wrap(forwarder.HideQuotes(err), "answer cut")
 	}
 	a := Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}
 	if len(body) > MaxBufferedBody {
--- a/internal/forwarder/field_test.go
+++ b/internal/forwarder/field_test.go
@@ -100,3 +100,20 @@
 		}
 	}
 }
+
+// An answer that cannot be read may belong to another caller; what was read of it must not be in the error that the caller sees.
+func TestErrorsDoNotQuoteAnswers(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nRequest-Id: 2\r\n"
+	for _, answer := range []string{
+		"Secret\r\n\r\n", "HTTP/Secret 200 X\r\n\r\n", "HTTP/1.1 Secret X\r\n\r\n", head + "Secret\r\n\r\n", head + "Secret\t: v\r\n\r\n",
+		head + "Secret : v\r\n\r\n", head + "Content-Length: Secret\r\n\r\n", head + "Transfer-Encoding: Secret\r\n\r\n",
+		head + "Content-Length: 1\r\nContent-Length: Secret\r\n\r\n",
+		head + "Transfer-Encoding: chunked\r\n\r\n0\r\nSecret\r\n\r\n", head + "Transfer-Encoding: chunked\r\n\r\nSecret\r\n",
+	} {
+		_, err := sendTo(t, newForwarder(), newScriptedInstance(t, answer), "2")
+		require.Error(t, err, "%q", answer)
+		require.NotContains(t, err.Error(), "Secret", "%q", answer)
+	}
+	_, err := sendTo(t, newForwarder(), newScriptedInstance(t, head+"Secret\t: v\r\n\r\n"), "2")
+	require.Contains(t, forwarder.Quoted(err), "Secret", "the log has it")
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -315,7 +315,7 @@
 		httpResp, err := http.ReadResponse(c.r, &http.Request{Method: r.Method}) //nolint:bodyclose // Reading to its end or closing the connection ends it.
 		c.in.limit(math.MaxInt64)
 		if err != nil {
-			return Response{}, errors.Wrap(err, "answer")
+			return Response{}, errors.Wrap(HideQuotes(err), "answer")
 		}
 		if err := CheckFieldNames(httpResp.Header); err != nil {
 			return Response{}, err
@@ -398,7 +398,7 @@
 		}
 	}
 	if err != nil {
-		return Response{hold: resp.hold}, errors.Wrap(err, "answer cut")
+		return Response{hold: resp.hold}, errors.Wrap(HideQuotes(err), "answer cut")
 	}
 	resp.Body = body
 	if len(body) > limit {
--- a/internal/forwarder/head.go
+++ b/internal/forwarder/head.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/textproto"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/net/http/httpguts"
@@ -38,3 +39,34 @@
 
 // IsNoResponse reports whether an error is of bytes that are no response, whose connection must not be used again.
 func IsNoResponse(err error) bool { return errors.IsAny(err, ErrFieldName, ErrNoStatus) }
+
+// quotingError hides what an error of net/http quotes of a response: callers see the text of errors, and what was read may belong to
+// another caller.
+type quotingError struct{ cause error }
+
+// Error implements error.
+func (*quotingError) Error() string { return "the answer is malformed" }
+
+// Unwrap returns the error that quotes.
+func (e *quotingError) Unwrap() error { return e.cause }
+
+// HideQuotes returns an error of reading a response, without what net/http quotes of it with %q.
+func HideQuotes(err error) error {
+	if err == nil || !strings.Contains(err.Error(), `"`) {
+		return err
+	}
+	return &quotingError{err}
+}
+
+// maxQuoted bounds the text of Quoted, in bytes.
+const maxQuoted = 200
+
+// Quoted returns the text that HideQuotes has hidden, cut to maxQuoted bytes; it is empty if there is none.
+func Quoted(err error) string {
+	var q *quotingError
+	if !errors.As(err, &q) {
+		return ""
+	}
+	text := q.cause.Error()
+	return text[:min(len(text), maxQuoted)]
+}
--- a/internal/receiver/attemptlog.go
+++ b/internal/receiver/attemptlog.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/jacinthproxy/jacinthproxy/internal/forwarder"
 	"github.com/jacinthproxy/jacinthproxy/internal/logger"
 	"github.com/jacinthproxy/jacinthproxy/pkg/balancer"
 )
@@ -26,17 +27,20 @@
 	if !ok {
 		return
 	}
-	local, skipped := zap.Skip(), zap.Skip()
+	local, skipped, quoted := zap.Skip(), zap.Skip(), zap.Skip()
 	if resp.Connection.Local.IsValid() {
 		local = zap.Stringer("localAddress", resp.Connection.Local)
 	}
 	if len(resp.Skipped) > 0 {
 		skipped = zap.Strings("skipped", skippedIDs(resp.Skipped))
 	}
+	if q := forwarder.Quoted(a.err); q != "" {
+		quoted = zap.String("quoted", q)
+	}
 	r.Logger.Info(event, zap.String("id", r.id), zap.Int("attempt", a.number), zap.String("instance", a.choice.ID),
 		zap.Int64("incarnation", a.choice.Incarnation), zap.Stringer("address", a.choice.Address), local,
 		zap.Int("carried", resp.Connection.Carried), zap.Bool("repeated", resp.Connection.Repeated), zap.Int("status", resp.Status),
-		zap.Stringer("outcome", o), zap.Bool("notRun", resp.NotRun), skipped, zap.Duration("took", took), logger.Err(a.err), omitted)
+		zap.Stringer("outcome", o), zap.Bool("notRun", resp.NotRun), skipped, zap.Duration("took", took), logger.Err(a.err), quoted, omitted)
 }
 
 // skippedIDs returns the request IDs of skipped responses, with a dash for a response that names no request.
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -78,7 +78,7 @@
 	}
 }
 
-// A response with a name that no field can have is no answer, and the request may have run.
+// A response with a name that no field can have is no answer, and the request may have run; the caller does not see the line.
 func TestResponsesWithAnInvalidFieldNameReachNoCaller(t *testing.T) {
 	c := newCluster(t, 3)
 	for i, field := range []string{"X-Secret : v", "X Secret: v", "X-Secret\t: v", "X-Secret\x00: v", "X-Secret\x7f: v", "X-Secret\r: v"} {
@@ -90,6 +90,7 @@
 			require.Equal(t, http.StatusBadGateway, r.status, "%q: %s", field, r.body)
 			require.Equal(t, "unknown", r.outcome)
 			require.NotContains(t, r.body, "inner")
+			require.NotContains(t, r.body, "Secret")
 			runs, _ := c.runs.Load(job)
 			require.EqualValues(t, 1, runs.(*atomic.Int64).Load())
 			r, err = c.send(i%3, http.MethodGet, "/t/get/x")
