soak: instances reset answers behind a part, and name fields wrongly

Cause: the proxy closed the other side of a connection however its own side had ended, and a write that met a reset hid it from the proxy's read, as it did in the forwarder.

Change: "server sends no whole answers" also draws emulator.ResetPart and emulator.WithField, whose body is no answer. The proxy reads through CheckEnds and passes on a reset of the server.

Evidence: TestProxyPassesOnThatTheServerResets fails without the change of the proxy.

--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -210,11 +210,13 @@
 		s := f.randomServer(r)
 		s.mu.Lock()
 		s.endlessShare, s.headCutShare, s.noStatusShare = r.Float64()/2, r.Float64()/2, r.Float64()/2
+		s.resetShare, s.badFieldShare = r.Float64()/2, r.Float64()/2
 		s.mu.Unlock()
 		return func() {
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			s.endlessShare, s.headCutShare, s.noStatusShare = 0, 0, 0
+			s.resetShare, s.badFieldShare = 0, 0
 		}, s.ID
 	}},
 	{"server sends refusals of no request", false, func(f *fleet, r *rand.Rand) (func(), string) {
--- a/cmd/soak/proxy.go
+++ b/cmd/soak/proxy.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/jacinthproxy/jacinthproxy/internal/forwarder"
 )
 
 // impairment describes the network faults that a proxy injects.
@@ -133,16 +135,17 @@
 	}
 	p.conns[l] = true
 	p.mu.Unlock()
+	client, server := forwarder.CheckEnds(c), forwarder.CheckEnds(s)
 	var g sync.WaitGroup
-	g.Go(func() { p.forward(l, s, c, true) })
-	g.Go(func() { p.forward(l, c, s, false) })
+	g.Go(func() { p.forward(l, server, client, true) })
+	g.Go(func() { p.forward(l, client, server, false) })
 	g.Wait()
 	p.mu.Lock()
 	delete(p.conns, l)
 	p.mu.Unlock()
 }
 
-// forward forwards one direction of a connection until its end.
+// forward forwards one direction of a connection until its end, and passes on a reset of the server.
 func (p *proxy) forward(l *link, to, from net.Conn, up bool) {
 	defer func() { _ = to.Close() }()
 	b := make([]byte, 16<<10)
@@ -162,6 +165,9 @@
 			if lost {
 				_, _ = io.Copy(io.Discard, from)
 			}
+			if !up && !errors.Is(err, io.EOF) {
+				reset(l.client)
+			}
 			return
 		}
 	}
--- a/cmd/soak/proxy_test.go
+++ b/cmd/soak/proxy_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/jacinthproxy/jacinthproxy/internal/forwarder"
 )
 
 // startEchoProxy starts an echo server and a proxy in front of it.
@@ -55,6 +57,33 @@
 	require.Equal(t, "b\n", roundTrip(t, dial(t, p), "b"), "new connections work")
 }
 
+// A part of an answer that the server reset must not look as if it had ended in order.
+func TestProxyPassesOnThatTheServerResets(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = c.Read(make([]byte, 1))
+			_, _ = io.WriteString(c, "part")
+			reset(c)
+		}
+	}()
+	p, err := newProxy("127.0.0.1:0", l.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = p.listener.Close() })
+	for range 50 {
+		c := forwarder.CheckEnds(dial(t, p))
+		go func() { _, _ = c.Write(make([]byte, 256<<10)) }()
+		_, err = io.ReadAll(c)
+		require.Error(t, err)
+	}
+}
+
 func TestProxySilencesOpenConnectionsOnly(t *testing.T) {
 	p := startEchoProxy(t)
 	c := dial(t, p)
--- a/cmd/soak/server.go
+++ b/cmd/soak/server.go
@@ -53,6 +53,9 @@
 	// pauseShare is the share of requests that are refused with a pause, endlessShare of those that get bytes without end,
 	// headCutShare of those whose answer ends in its head, and noStatusShare of those whose response has a status that is none.
 	pauseShare, endlessShare, headCutShare, noStatusShare float64
+	// resetShare is the share of requests whose answer is reset behind a part, and badFieldShare of those whose response has a field
+	// with an invalid name.
+	resetShare, badFieldShare float64
 	// strayShare is the share of answers with a refusal that names no request before them.
 	strayShare float64
 }
@@ -163,7 +166,7 @@
 		return emulator.LatePart(b, time.Duration(r.Int64N(int64(maxWorkTime))), func(n int) int { return int(part * float64(n)) })
 	}
 	copied := r.Float64() < s.copyShare
-	broken := s.brokenResponse(r, headPart)
+	broken := s.brokenResponse(r, req, headPart)
 	switch x -= s.shedShare; {
 	case pauses:
 		return emulator.Pause(statedPause)
@@ -190,7 +193,7 @@
 }
 
 // brokenResponse returns a behavior that gives no whole response, or nil; headPart is the part of a head that ends early.
-func (s *server) brokenResponse(r *rand.Rand, headPart float64) emulator.Behavior {
+func (s *server) brokenResponse(r *rand.Rand, req *http.Request, headPart float64) emulator.Behavior {
 	switch {
 	case r.Float64() < s.endlessShare:
 		return emulator.Endless("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n\r\n", "x")
@@ -198,6 +201,10 @@
 		return emulator.CutHead(func(n int) int { return int(headPart * float64(n)) })
 	case r.Float64() < s.noStatusShare:
 		return emulator.WithStatus(invalidStatuses[r.IntN(len(invalidStatuses))])
+	case r.Float64() < s.badFieldShare:
+		return emulator.WithField(invalidFields[r.IntN(len(invalidFields))])
+	case r.Float64() < s.resetShare && req.Method != http.MethodHead: // The answer to HEAD is whole without a body.
+		return emulator.ResetPart
 	}
 	return nil
 }
@@ -224,6 +231,9 @@
 // invalidStatuses are statuses that no final response has.
 var invalidStatuses = []string{"000", "001", "099", "101", "600", "999"}
 
+// invalidFields are lines whose field names are invalid.
+var invalidFields = []string{"X-Field : v", "X Field: v", "Content-Length : 1", "Transfer Encoding: chunked", "X-Field\t: v", "X-Field\x00: v"}
+
 // refusalStatuses are the statuses with which a server refuses a request.
 var refusalStatuses = []int{http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusBadRequest}
 
--- a/cmd/standin/emulator/instance.go
+++ b/cmd/standin/emulator/instance.go
@@ -425,10 +425,11 @@
 	}
 }
 
-// WithField returns a behavior that executes the request and responds with a further line in the head.
+// WithField returns a behavior that executes the request and responds with a further line in the head and a body that is no answer.
 func WithField(line string) Behavior {
-	return func(c net.Conn, r *http.Request, i *Instance) {
-		writeLast(c, responseHead(r.Header.Get("Request-Id"), http.StatusOK, line+"\r\n", i.Body)+i.Body)
+	return func(c net.Conn, r *http.Request, _ *Instance) {
+		const body = "inner"
+		writeLast(c, responseHead(r.Header.Get("Request-Id"), http.StatusOK, line+"\r\n", body)+body)
 	}
 }
 
