--- a/internal/dispatcher/backend_test.go
+++ b/internal/dispatcher/backend_test.go
@@ -179,6 +179,35 @@
 	require.EqualValues(t, 2, opened.Load())
 }
 
+// An answer that ends with its connection cannot be told from one that was reset during the upload.
+func TestAnswerWithoutALengthIsNoAnswer(t *testing.T) {
+	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	var resets atomic.Bool
+	go func() {
+		for {
+			c, err := l.AcceptTCP()
+			if err != nil {
+				return
+			}
+			_, _ = c.Read(make([]byte, 1<<10))
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
+			if resets.Load() {
+				_ = c.SetLinger(0)
+			}
+			_ = c.Close()
+		}
+	}()
+	b := newBackend(netip.MustParseAddrPort(l.Addr().String()))
+	for n := range 80 {
+		resets.Store(n%2 == 0)
+		r := Request{ID: strconv.Itoa(n), Method: http.MethodPost, Target: "/", Body: make([]byte, (4<<10)<<(n/2%10))}
+		_, err := b.send(t.Context(), r)
+		require.Error(t, err, "%d bytes", len(r.Body))
+	}
+}
+
 // answersWithFieldName returns responses whose heads have a field of a valid name and of one derived from it by broken.
 func answersWithFieldName(broken func(name string) string) map[string]string {
 	const (
--- a/internal/forwarder/reset_test.go
+++ b/internal/forwarder/reset_test.go
@@ -123,6 +123,46 @@
 	require.Empty(t, whole, "%d of %d forms", len(whole), forms)
 }
 
+func TestAnswerThatIsResetOnAKeptConnectionIsNotWhole(t *testing.T) {
+	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.AcceptTCP()
+			if err != nil {
+				return
+			}
+			_, _ = c.Read(make([]byte, 1024))
+			_, _ = io.WriteString(c, answerTo("1", "first"))
+			_, _ = c.Read(make([]byte, 1024))
+			_, _ = io.WriteString(c, headWithoutLength+"part")
+			resetAtOnce(c)
+			_ = c.Close()
+		}
+	}()
+	whole, forms := 0, 0
+	for _, upload := range uploads() {
+		for range 5 {
+			f, a := newForwarder(), netip.MustParseAddrPort(l.Addr().String())
+			_, err := sendTo(t, f, a, "1")
+			require.NoError(t, err)
+			resp, err := f.Send(t.Context(), a, upload(), maxIdle)
+			if err == nil {
+				_, err = readWhole(resp)
+			}
+			if resp.Connection.Carried == 0 {
+				continue // The kept connection was idle for too long.
+			}
+			forms++
+			if err == nil {
+				whole++
+			}
+		}
+	}
+	require.Zero(t, whole, "of %d", forms)
+}
+
 func TestAnswerThatEndsInOrderDuringTheUploadIsWhole(t *testing.T) {
 	for name, upload := range uploads() {
 		for _, size := range answerSizes {
