forwarder: the log names the field whose name is invalid

What operators saw: "the answer has a field with an invalid name", but not which.

Cause: the error had no name, as callers see its text.

Change: the name is hidden from the text as other quotes are, and logged in the field "quoted" of "attempt failed".

Measured: TestErrorsDoNotQuoteAnswers asks the log's text for the name, and failed before.

--- a/internal/forwarder/field_test.go
+++ b/internal/forwarder/field_test.go
@@ -114,6 +114,8 @@
 		require.Error(t, err, "%q", answer)
 		require.NotContains(t, err.Error(), "Secret", "%q", answer)
 	}
-	_, err := sendTo(t, newForwarder(), newScriptedInstance(t, head+"Secret\t: v\r\n\r\n"), "2")
-	require.Contains(t, forwarder.Quoted(err), "Secret", "the log has it")
+	for _, field := range []string{"Secret\t: v", "Secret : v"} {
+		_, err := sendTo(t, newForwarder(), newScriptedInstance(t, head+field+"\r\n\r\n"), "2")
+		require.Contains(t, forwarder.Quoted(err), "Secret", "the log has it")
+	}
 }
--- a/internal/forwarder/head.go
+++ b/internal/forwarder/head.go
@@ -27,11 +27,11 @@
 	return CheckFieldNames(http.Header(header))
 }
 
-// CheckFieldNames returns ErrFieldName unless the names of all fields are tokens (RFC 9110, section 5.1).
+// CheckFieldNames returns an error that wraps ErrFieldName unless the names of all fields are tokens (RFC 9110, section 5.1).
 func CheckFieldNames(header http.Header) error {
 	for name := range header {
 		if !httpguts.ValidHeaderFieldName(name) {
-			return ErrFieldName
+			return &quotingError{ErrFieldName.Error(), errors.Wrapf(ErrFieldName, "%q", name)}
 		}
 	}
 	return nil
@@ -40,12 +40,15 @@
 // IsNoResponse reports whether an error is of bytes that are no response, whose connection must not be used again.
 func IsNoResponse(err error) bool { return errors.IsAny(err, ErrFieldName, ErrNoStatus) }
 
-// quotingError hides what an error of net/http quotes of a response: callers see the text of errors, and what was read may belong to
-// another caller.
-type quotingError struct{ cause error }
+// quotingError hides what an error quotes of a response: callers see the text of errors, and what was read may belong to another
+// caller.
+type quotingError struct {
+	text  string
+	cause error
+}
 
 // Error implements error.
-func (*quotingError) Error() string { return "the answer is malformed" }
+func (e *quotingError) Error() string { return e.text }
 
 // Unwrap returns the error that quotes.
 func (e *quotingError) Unwrap() error { return e.cause }
@@ -55,13 +58,13 @@
 	if err == nil || !strings.Contains(err.Error(), `"`) {
 		return err
 	}
-	return &quotingError{err}
+	return &quotingError{"the answer is malformed", err}
 }
 
 // maxQuoted bounds the text of Quoted, in bytes.
 const maxQuoted = 200
 
-// Quoted returns the text that HideQuotes has hidden, cut to maxQuoted bytes; it is empty if there is none.
+// Quoted returns the error that HideQuotes or CheckFieldNames has hidden, cut to maxQuoted bytes; it is empty if there is none.
 func Quoted(err error) string {
 	var q *quotingError
 	if !errors.As(err, &q) {
