forwarder: tests of resets share one instance

Cause: two tests had the same loop that accepts connections. Change: newServedInstance. The checks are the same.

--- a/internal/forwarder/reset_test.go
+++ b/internal/forwarder/reset_test.go
@@ -15,9 +15,8 @@
 	"github.com/jacinthproxy/jacinthproxy/internal/forwarder"
 )
 
-// newEarlyInstance starts an instance that writes an answer as soon as the first bytes of a request have come, and then ends the
-// connection.
-func newEarlyInstance(t *testing.T, answer string, end func(c *net.TCPConn)) netip.AddrPort {
+// newServedInstance starts an instance whose connections are served by a function, and closed after it.
+func newServedInstance(t *testing.T, serve func(c *net.TCPConn)) netip.AddrPort {
 	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
@@ -29,18 +28,28 @@
 			}
 			go func() {
 				defer func() { _ = c.Close() }()
-				if _, err := c.Read(make([]byte, 1024)); err != nil {
-					return
-				}
-				if _, err := io.WriteString(c, answer); err == nil {
-					end(c)
-				}
+				serve(c)
 			}()
 		}
 	}()
 	return netip.MustParseAddrPort(l.Addr().String())
 }
 
+// answerEarly writes an answer as soon as the first bytes of a request have come.
+func answerEarly(c *net.TCPConn, answer string) {
+	if _, err := c.Read(make([]byte, 1024)); err == nil {
+		_, _ = io.WriteString(c, answer)
+	}
+}
+
+// newEarlyInstance starts an instance that answers early and then ends the connection.
+func newEarlyInstance(t *testing.T, answer string, end func(c *net.TCPConn)) netip.AddrPort {
+	return newServedInstance(t, func(c *net.TCPConn) {
+		answerEarly(c, answer)
+		end(c)
+	})
+}
+
 // Ways to end a connection.
 
 func resetAtOnce(c *net.TCPConn) { _ = c.SetLinger(0) }
@@ -124,27 +133,15 @@
 }
 
 func TestAnswerThatIsResetOnAKeptConnectionIsNotWhole(t *testing.T) {
-	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.AcceptTCP()
-			if err != nil {
-				return
-			}
-			_, _ = c.Read(make([]byte, 1024))
-			_, _ = io.WriteString(c, answerTo("1", "first"))
-			_, _ = c.Read(make([]byte, 1024))
-			_, _ = io.WriteString(c, headWithoutLength+"part")
-			resetAtOnce(c)
-			_ = c.Close()
-		}
-	}()
+	a := newServedInstance(t, func(c *net.TCPConn) {
+		answerEarly(c, answerTo("1", "first"))
+		answerEarly(c, headWithoutLength+"part")
+		resetAtOnce(c)
+	})
 	whole, forms := 0, 0
 	for _, upload := range uploads() {
 		for range 5 {
-			f, a := newForwarder(), netip.MustParseAddrPort(l.Addr().String())
+			f := newForwarder()
 			_, err := sendTo(t, f, a, "1")
 			require.NoError(t, err)
 			resp, err := f.Send(t.Context(), a, upload(), maxIdle)
