receiver: the test's picker names as many instances as a request is sent to

Cause: the fixture's Pick had names for 6 instances. A request with 4 attempts may be sent 3 times, refused each time, and find 3 instances unreachable, before a seventh is picked.

Change: the names are made for each pick. The checks are the same.

--- a/internal/receiver/fixture_test.go
+++ b/internal/receiver/fixture_test.go
@@ -180,7 +180,7 @@
 
 func (f *fixture) Pick(_ string, want balancer.Request) (balancer.Choice, bool) {
 	f.picks++
-	id := []string{"i-1", "i-2", "i-3", "i-4", "i-5", "i-6"}[len(want.Tried)]
+	id := fmt.Sprint("i-", len(want.Tried)+1)
 	return balancer.Choice{Instance: balancer.Instance{ID: id, Incarnation: 7, Address: netip.MustParseAddrPort("10.0.0.1:80")}}, true
 }
 
