--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -45,7 +45,7 @@
 // respond reports the answer to the Observer and writes it to the caller.
 func (x *exchange) respond(a dispatcher.Answer) error {
 	if a.Outcome == dispatcher.OutcomeAnswered {
-		a = checked(a)
+		a = checkHead(a)
 	}
 	if a.Status == 0 {
 		a.Status = reasonStatuses[a.Reason]
@@ -63,8 +63,8 @@
 	return x.writeResponse(a)
 }
 
-// checked replaces an answer whose head no response can have, as an older dispatcher or a record may pass on.
-func checked(a dispatcher.Answer) dispatcher.Answer {
+// checkHead replaces an answer whose head no response can have, as an older dispatcher or a record may pass on.
+func checkHead(a dispatcher.Answer) dispatcher.Answer {
 	err := forwarder.CheckFieldNames(a.Header)
 	if !forwarder.IsFinal(a.Status) {
 		err = forwarder.ErrNoStatus
